Lay the workspace, the module interfaces and the test command

Cause: nothing stood; the parts of the design (claims, gate, policy, settings) can only go on side by side once the types between them are fixed. Change: eight Maven modules with ktlint and detekt in `verify`; names, jobs, verdicts, rosters, settings and the dispatcher's interface in core; CBOR messages and heartbeat-checked links in protocol; the store's interface in platform; flags, checked settings, numbered events and operators' routes in process (both binaries share them).

--- /dev/null
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/roster/Roster.kt
@@ -0,0 +1,44 @@
+package io.egretlock.core.roster
+
+import io.egretlock.core.job.ProcessId
+import kotlinx.serialization.Serializable
+
+/**
+ * The entries that may claim jobs from a point in time on, as stored in the platform's store.
+ *
+ * @property version counts up by one with each publication.
+ * @property effectiveFromMillis milliseconds since the epoch; jobs created from then on belong to these members.
+ */
+@Serializable
+data class Roster(
+    val version: Long,
+    val effectiveFromMillis: Long,
+    val members: List<EntryMember>,
+)
+
+/** One entry of a roster and the address at which agents and other entries dial it. */
+@Serializable
+data class EntryMember(
+    val entry: ProcessId,
+    val address: NodeAddress,
+)
+
+/** An IP number and a TCP port. */
+@Serializable
+data class NodeAddress(
+    val host: String,
+    val port: Int,
+) {
+    override fun toString(): String = "$host:$port"
+
+    companion object {
+        private const val LARGEST_PORT = 65_535
+
+        /** Reads `host:port`; null if [text] is not of that form. */
+        fun parse(text: String): NodeAddress? {
+            val port = text.substringAfterLast(':', "").toIntOrNull()?.takeIf { it in 1..LARGEST_PORT }
+            val host = text.substringBeforeLast(':', "").takeIf { it.isNotBlank() }
+            return if (port == null || host == null) null else NodeAddress(host, port)
+        }
+    }
+}
--- /dev/null
+++ b/egretlock-protocol/src/test/kotlin/io/egretlock/protocol/LinkTest.kt
@@ -0,0 +1,49 @@
+package io.egretlock.protocol
+
+import io.egretlock.core.job.JobId
+import io.egretlock.core.job.TaskId
+import io.egretlock.core.roster.NodeAddress
+import io.ktor.network.selector.SelectorManager
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withTimeout
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertNull
+import org.junit.jupiter.api.Test
+
+class LinkTest {
+    @Test
+    fun `given two ends, when messages are sent, then they arrive whole and in order`() =
+        withLinkPair { near, far ->
+            val sent = (0 until 500).map { index -> Cancel(TaskId(JobId("job"), index)) }
+            sent.forEach { message -> near.send(message) }
+            assertEquals(sent, List(sent.size) { far.incoming.receive() })
+        }
+
+    @Test
+    fun `given two ends, when one closes, then the other's messages end`() =
+        withLinkPair { near, far ->
+            near.close()
+            assertNull(far.incoming.receiveCatching().getOrNull())
+        }
+
+    private fun withLinkPair(body: suspend (Link, Link) -> Unit) =
+        runBlocking(Dispatchers.Default) {
+            SelectorManager(Dispatchers.IO).use { selector ->
+                val accepted = CompletableDeferred<Link>()
+                val listener =
+                    LinkListener.bind(NodeAddress("127.0.0.1", 0), selector, this) { link -> accepted.complete(link) }
+                val near = Link.dial(NodeAddress("127.0.0.1", listener.port), selector, this)
+                val far = withTimeout(DEADLINE_MILLIS) { accepted.await() }
+                withTimeout(DEADLINE_MILLIS) { body(near, far) }
+                near.close()
+                far.close()
+                listener.close()
+            }
+        }
+
+    private companion object {
+        const val DEADLINE_MILLIS = 10_000L
+    }
+}
