Add the platform's store client and its stand-in

Cause: nothing could read or write the platform's store, which the roster and the settings need. Ruled out: retries inside the client (a write repeated blindly may count twice; callers own the deadline); OkHttp's own connection retry, for the same reason.

--- /dev/null
+++ b/egretlock-platform/src/main/kotlin/io/egretlock/platform/BudgetedStore.kt
@@ -0,0 +1,46 @@
+package io.egretlock.platform
+
+import kotlinx.coroutines.flow.Flow
+import kotlinx.coroutines.flow.catch
+import kotlinx.coroutines.flow.onStart
+
+/** Counts the calls to [store] and makes none over [budget]. */
+class BudgetedStore(
+    private val store: KeyValueStore,
+    private val budget: StoreCallBudget,
+) : KeyValueStore {
+    override suspend fun read(
+        prefix: String,
+        changedAfter: Long,
+    ): StoreSnapshot = counting(StoreCallKind.READ) { store.read(prefix, changedAfter) }
+
+    override suspend fun compareAndSwap(
+        key: String,
+        expectedRevision: Long,
+        value: String,
+    ): SwapResult = counting(StoreCallKind.WRITE) { store.compareAndSwap(key, expectedRevision, value) }
+
+    override fun watch(
+        prefix: String,
+        revision: Long,
+    ): Flow<StoreEntry> =
+        store
+            .watch(prefix, revision)
+            .catch { failure ->
+                budget.countFailure(StoreCallKind.WATCH)
+                throw failure
+            }.onStart { budget.take(StoreCallKind.WATCH) }
+
+    private suspend fun <T> counting(
+        kind: StoreCallKind,
+        call: suspend () -> T,
+    ): T {
+        budget.take(kind)
+        return try {
+            call()
+        } catch (failure: StoreException) {
+            budget.countFailure(kind)
+            throw failure
+        }
+    }
+}
--- a/egretlock-platform/src/main/kotlin/io/egretlock/platform/KeyValueStore.kt
+++ b/egretlock-platform/src/main/kotlin/io/egretlock/platform/KeyValueStore.kt
@@ -9,8 +9,14 @@
  * which the write may or may not have taken effect.
  */
 interface KeyValueStore {
-    /** All keys that start with [prefix], read from a majority (linearizable), with the revision of the read. */
-    suspend fun read(prefix: String): StoreSnapshot
+    /**
+     * The keys that start with [prefix] and changed after revision [changedAfter], read from a majority (linearizable),
+     * with the revision of the read. Deleted keys are left out.
+     */
+    suspend fun read(
+        prefix: String,
+        changedAfter: Long = 0,
+    ): StoreSnapshot
 
     /**
      * Writes [value] if the key's modification revision is still [expectedRevision]; 0 stands for an absent key.
--- /dev/null
+++ b/egretlock-platform/src/main/kotlin/io/egretlock/platform/StoreCallBudget.kt
@@ -0,0 +1,94 @@
+package io.egretlock.platform
+
+import io.prometheus.metrics.core.metrics.Counter
+import io.prometheus.metrics.model.registry.PrometheusRegistry
+
+/** Kinds of calls to the platform's store; the store counts each, a waiting watch as one. */
+enum class StoreCallKind {
+    READ,
+    WRITE,
+    WATCH,
+    ;
+
+    /** Value of the metrics' label `kind`. */
+    val label: String = name.lowercase()
+}
+
+/**
+ * What one process may call the platform's store.
+ *
+ * @property callsPerSecond calls of each kind that are allowed over time.
+ * @property burst calls of each kind that are allowed at once.
+ */
+data class StoreCallLimits(
+    val callsPerSecond: Double = 20.0,
+    val burst: Int = 40,
+)
+
+/**
+ * Keeps the calls of one process to the store under its limits and counts them in metrics. A call over the limit is
+ * not made; its caller tries again later, as after any failure of the store.
+ */
+class StoreCallBudget(
+    private val limits: StoreCallLimits,
+    registry: PrometheusRegistry,
+    private val nowMillis: () -> Long = { System.nanoTime() / NANOS_PER_MILLI },
+) {
+    private val buckets = StoreCallKind.entries.associateWith { TokenBucket(limits, nowMillis()) }
+    private val made = counter("egretlock_store_calls", "Calls made to the platform's store.", registry)
+    private val failed = counter("egretlock_store_calls_failed", "Calls to the store that failed.", registry)
+    private val withheld = counter("egretlock_store_calls_withheld", "Calls not made: budget spent.", registry)
+
+    /** Takes one call of [kind] from the budget; throws [StoreBudgetException] if none is left. */
+    fun take(kind: StoreCallKind) {
+        if (buckets.getValue(kind).take(nowMillis())) {
+            made.labelValues(kind.label).inc()
+        } else {
+            withheld.labelValues(kind.label).inc()
+            throw StoreBudgetException(kind)
+        }
+    }
+
+    /** Counts a call of [kind] that failed. */
+    fun countFailure(kind: StoreCallKind) = failed.labelValues(kind.label).inc()
+
+    private fun counter(
+        name: String,
+        help: String,
+        registry: PrometheusRegistry,
+    ): Counter =
+        Counter
+            .builder()
+            .name(name)
+            .help(help)
+            .labelNames("kind")
+            .register(registry)
+            .also { counter -> StoreCallKind.entries.forEach { counter.initLabelValues(it.label) } }
+
+    private class TokenBucket(
+        private val limits: StoreCallLimits,
+        private var filledAtMillis: Long,
+    ) {
+        private var tokens = limits.burst.toDouble()
+
+        @Synchronized
+        fun take(nowMillis: Long): Boolean {
+            val gained = (nowMillis - filledAtMillis) * limits.callsPerSecond / MILLIS_PER_SECOND
+            tokens = (tokens + gained).coerceAtMost(limits.burst.toDouble())
+            filledAtMillis = nowMillis
+            if (tokens < 1) return false
+            tokens -= 1
+            return true
+        }
+    }
+
+    private companion object {
+        const val NANOS_PER_MILLI = 1_000_000L
+        const val MILLIS_PER_SECOND = 1_000.0
+    }
+}
+
+/** A call was not made because the process has spent its budget of calls of [kind]. */
+class StoreBudgetException(
+    val kind: StoreCallKind,
+) : StoreException("The budget of ${kind.label} calls to the store is spent.")
--- /dev/null
+++ b/egretlock-platform/src/main/kotlin/io/egretlock/platform/etcd/EtcdStore.kt
@@ -0,0 +1,250 @@
+package io.egretlock.platform.etcd
+
+import io.egretlock.platform.KeyValueStore
+import io.egretlock.platform.StoreEntry
+import io.egretlock.platform.StoreException
+import io.egretlock.platform.StoreOutcomeUnknownException
+import io.egretlock.platform.StoreSnapshot
+import io.egretlock.platform.SwapResult
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.channels.SendChannel
+import kotlinx.coroutines.channels.awaitClose
+import kotlinx.coroutines.flow.Flow
+import kotlinx.coroutines.flow.callbackFlow
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.suspendCancellableCoroutine
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.encodeToString
+import okhttp3.Call
+import okhttp3.Callback
+import okhttp3.Dispatcher
+import okhttp3.MediaType.Companion.toMediaType
+import okhttp3.OkHttpClient
+import okhttp3.Request
+import okhttp3.RequestBody.Companion.toRequestBody
+import okhttp3.Response
+import okio.BufferedSource
+import java.io.IOException
+import java.net.ConnectException
+import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicInteger
+import kotlin.coroutines.resume
+import kotlin.coroutines.resumeWithException
+
+/**
+ * The platform's store by the JSON form of the etcd v3 API over HTTP.
+ *
+ * No call is ever repeated here: callers decide, within their own deadlines, whether to try again. After a failed call
+ * the next one goes to the next endpoint.
+ */
+class EtcdStore(
+    private val settings: EtcdStoreSettings,
+) : KeyValueStore,
+    AutoCloseable {
+    private val endpoint = AtomicInteger()
+    private val client =
+        OkHttpClient
+            .Builder()
+            .retryOnConnectionFailure(false)
+            .connectTimeout(settings.connectMillis, TimeUnit.MILLISECONDS)
+            .readTimeout(settings.callMillis, TimeUnit.MILLISECONDS)
+            .callTimeout(settings.callMillis, TimeUnit.MILLISECONDS)
+            .dispatcher(Dispatcher().apply { maxRequestsPerHost = maxRequests })
+            .build()
+    private val watchClient =
+        client
+            .newBuilder()
+            .readTimeout(0, TimeUnit.MILLISECONDS)
+            .callTimeout(0, TimeUnit.MILLISECONDS)
+            .build()
+
+    override suspend fun read(
+        prefix: String,
+        changedAfter: Long,
+    ): StoreSnapshot {
+        val request =
+            RangeRequest(
+                key = EtcdMessages.encode(prefix),
+                rangeEnd = EtcdMessages.encode(EtcdMessages.endOfPrefix(prefix)),
+                minModRevision = if (changedAfter > 0) changedAfter + 1 else 0,
+            )
+        val response = EtcdMessages.json.encodeToString(request).let { call(RANGE_PATH, it) }
+        val range = decoding { EtcdMessages.json.decodeFromString<RangeResponse>(response) }
+        return StoreSnapshot(entries = range.kvs.map(::entryOf), revision = range.header.revision)
+    }
+
+    override suspend fun compareAndSwap(
+        key: String,
+        expectedRevision: Long,
+        value: String,
+    ): SwapResult =
+        try {
+            val request = EtcdMessages.json.encodeToString(swapRequest(key, expectedRevision, value))
+            val response = call(TRANSACTION_PATH, request)
+            swapResult(decoding { EtcdMessages.json.decodeFromString<TransactionResponse>(response) })
+        } catch (failure: NotSentException) {
+            throw failure
+        } catch (failure: StoreException) {
+            throw StoreOutcomeUnknownException(key, failure)
+        }
+
+    override fun watch(
+        prefix: String,
+        revision: Long,
+    ): Flow<StoreEntry> =
+        callbackFlow {
+            val create =
+                WatchCreateRequest(
+                    key = EtcdMessages.encode(prefix),
+                    rangeEnd = EtcdMessages.encode(EtcdMessages.endOfPrefix(prefix)),
+                    startRevision = revision + 1,
+                )
+            val body = EtcdMessages.json.encodeToString(WatchRequest(create))
+            val call = watchClient.newCall(requestTo(WATCH_PATH, body))
+            launch(Dispatchers.IO) { close(failureOfWatch(call, channel)) }
+            awaitClose { call.cancel() }
+        }
+
+    /** Closes all connections; calls under way fail. */
+    override fun close() {
+        client.dispatcher.cancelAll()
+        client.dispatcher.executorService.shutdown()
+        client.connectionPool.evictAll()
+    }
+
+    private fun swapRequest(
+        key: String,
+        expectedRevision: Long,
+        value: String,
+    ): TransactionRequest {
+        val encodedKey = EtcdMessages.encode(key)
+        return TransactionRequest(
+            compare = listOf(Comparison(key = encodedKey, modRevision = expectedRevision)),
+            success = listOf(RequestOperation(put = PutRequest(encodedKey, EtcdMessages.encode(value)))),
+            failure = listOf(RequestOperation(range = RangeRequest(encodedKey))),
+        )
+    }
+
+    private fun swapResult(response: TransactionResponse): SwapResult {
+        if (response.succeeded) return SwapResult.Stored(response.header.revision)
+        val present =
+            response.responses
+                .firstNotNullOfOrNull { it.range }
+                ?.kvs
+                ?.firstOrNull()
+        return SwapResult.Conflict(present?.let(::entryOf))
+    }
+
+    private suspend fun failureOfWatch(
+        call: Call,
+        changes: SendChannel<StoreEntry>,
+    ): StoreException =
+        try {
+            call.execute().use { response ->
+                requireSuccess(response)
+                deliverChanges(response.body.source(), changes)
+            }
+            StoreException("The store ended the watch.")
+        } catch (failure: IOException) {
+            failed(failure)
+        } catch (failure: StoreException) {
+            failure
+        }
+
+    private suspend fun deliverChanges(
+        source: BufferedSource,
+        changes: SendChannel<StoreEntry>,
+    ) {
+        while (true) {
+            val line = source.readUtf8Line() ?: return
+            if (line.isBlank()) continue
+            val response = decoding { EtcdMessages.json.decodeFromString<WatchMessage>(line) }.result
+            if (response == null || response.canceled) return
+            response.events.forEach { event -> changes.send(changeOf(event)) }
+        }
+    }
+
+    private fun changeOf(event: WatchEvent): StoreEntry {
+        val entry = entryOf(event.kv)
+        return if (event.type == WatchEvent.TYPE_DELETE) entry.copy(value = null) else entry
+    }
+
+    private fun entryOf(pair: KeyValue): StoreEntry =
+        StoreEntry(
+            key = EtcdMessages.decode(pair.key),
+            value = EtcdMessages.decode(pair.value),
+            revision = pair.modRevision,
+        )
+
+    private suspend fun call(
+        path: String,
+        body: String,
+    ): String =
+        try {
+            client.newCall(requestTo(path, body)).await().use { response ->
+                requireSuccess(response)
+                response.body.string()
+            }
+        } catch (failure: IOException) {
+            throw failed(failure)
+        }
+
+    private fun requestTo(
+        path: String,
+        body: String,
+    ): Request {
+        val address = settings.endpoints[Math.floorMod(endpoint.get(), settings.endpoints.size)]
+        return Request
+            .Builder()
+            .url("http://$address$path")
+            .post(body.toRequestBody(JSON_TYPE))
+            .build()
+    }
+
+    private fun requireSuccess(response: Response) {
+        if (!response.isSuccessful) throw failed(IOException("The store answered HTTP ${response.code}."))
+    }
+
+    private fun failed(cause: IOException): StoreException {
+        endpoint.incrementAndGet()
+        val message = "The store gave no answer: ${cause.message}"
+        return if (cause is ConnectException) NotSentException(message, cause) else StoreException(message, cause)
+    }
+
+    private fun <T> decoding(decode: () -> T): T =
+        try {
+            decode()
+        } catch (failure: SerializationException) {
+            throw StoreException("The store's answer can't be read: ${failure.message}", failure)
+        }
+
+    private class NotSentException(
+        message: String,
+        cause: Throwable,
+    ) : StoreException(message, cause)
+
+    private companion object {
+        const val RANGE_PATH = "/v3/kv/range"
+        const val TRANSACTION_PATH = "/v3/kv/txn"
+        const val WATCH_PATH = "/v3/watch"
+        val JSON_TYPE = "application/json".toMediaType()
+    }
+}
+
+private suspend fun Call.await(): Response =
+    suspendCancellableCoroutine { continuation ->
+        continuation.invokeOnCancellation { cancel() }
+        enqueue(
+            object : Callback {
+                override fun onFailure(
+                    call: Call,
+                    e: IOException,
+                ) = continuation.resumeWithException(e)
+
+                override fun onResponse(
+                    call: Call,
+                    response: Response,
+                ) = continuation.resume(response) { _, unused, _ -> unused.close() }
+            },
+        )
+    }
--- /dev/null
+++ b/egretlock-testing/src/main/kotlin/io/egretlock/testing/store/StoreHistory.kt
@@ -0,0 +1,83 @@
+package io.egretlock.testing.store
+
+import io.egretlock.platform.StoreEntry
+
+/** Every change ever made to the stand-in of the store, so that any earlier state can be read. Thread-safe. */
+class StoreHistory {
+    private val changes = mutableListOf<StoreEntry>()
+    private val monitor = Object()
+
+    /** Revision of the last change; 1 in an empty store, as in etcd. */
+    val revision: Long
+        get() = synchronized(monitor) { changes.lastOrNull()?.revision ?: EMPTY_REVISION }
+
+    /** Present entries whose key is at least [from] and below [until], as of revision [atRevision]. */
+    fun read(
+        from: String,
+        until: String?,
+        atRevision: Long = Long.MAX_VALUE,
+    ): List<StoreEntry> =
+        synchronized(monitor) {
+            changes
+                .filter { it.revision <= atRevision && inRange(it.key, from, until) }
+                .associateBy { it.key }
+                .values
+                .filter { it.value != null }
+                .sortedBy { it.key }
+        }
+
+    /** Stores [value], or deletes the key if null, unless its last change is not [expectedRevision]; true if stored. */
+    fun compareAndSwap(
+        key: String,
+        expectedRevision: Long,
+        value: String?,
+    ): Boolean =
+        synchronized(monitor) {
+            val present = read(key, until = null).firstOrNull()?.revision ?: 0
+            if (present == expectedRevision) append(key, value)
+            present == expectedRevision
+        }
+
+    /** Stores [value], or deletes the key if null, whatever is there. Returns the new revision. */
+    fun put(
+        key: String,
+        value: String?,
+    ): Long =
+        synchronized(monitor) {
+            append(key, value)
+            revision
+        }
+
+    /** Forgets every change after [lastRevision], as a store does that is restored from a backup. */
+    fun restore(lastRevision: Long) = synchronized(monitor) { changes.removeIf { it.revision > lastRevision } }
+
+    /** Changes of the range after [afterRevision]; waits up to [waitMillis] for the first. */
+    fun changesAfter(
+        from: String,
+        until: String?,
+        afterRevision: Long,
+        waitMillis: Long,
+    ): List<StoreEntry> =
+        synchronized(monitor) {
+            if (revision <= afterRevision) monitor.wait(waitMillis)
+            changes.filter { it.revision > afterRevision && inRange(it.key, from, until) }
+        }
+
+    private fun append(
+        key: String,
+        value: String?,
+    ) {
+        changes += StoreEntry(key, value, revision + 1)
+        monitor.notifyAll()
+    }
+
+    private fun inRange(
+        key: String,
+        from: String,
+        until: String?,
+    ): Boolean = if (until == null) key == from else key >= from && key < until
+
+    private companion object {
+        const val EMPTY_REVISION = 1L
+    }
+}
--- /dev/null
+++ b/egretlock-testing/src/main/kotlin/io/egretlock/testing/store/StoreStandIn.kt
@@ -0,0 +1,213 @@
+package io.egretlock.testing.store
+
+import io.egretlock.core.roster.NodeAddress
+import io.egretlock.platform.StoreEntry
+import io.egretlock.platform.etcd.EtcdMessages
+import io.egretlock.platform.etcd.KeyValue
+import io.egretlock.platform.etcd.RangeRequest
+import io.egretlock.platform.etcd.RangeResponse
+import io.egretlock.platform.etcd.ResponseHeader
+import io.egretlock.platform.etcd.ResponseOperation
+import io.egretlock.platform.etcd.TransactionRequest
+import io.egretlock.platform.etcd.TransactionResponse
+import io.egretlock.platform.etcd.WatchEvent
+import io.egretlock.platform.etcd.WatchMessage
+import io.egretlock.platform.etcd.WatchRequest
+import io.egretlock.platform.etcd.WatchResponse
+import io.javalin.Javalin
+import io.javalin.config.JavalinConfig
+import io.javalin.http.Context
+import kotlinx.serialization.encodeToString
+import java.io.IOException
+import java.io.OutputStream
+import java.util.concurrent.atomic.AtomicLong
+import java.util.concurrent.atomic.AtomicReference
+
+/**
+ * Stands in for the platform's store in tests: the range, transaction and watch calls of the etcd v3 API in their JSON
+ * form, in memory. Faults are set by [faults] or by `PUT /control/faults`; calls are counted by kind.
+ */
+class StoreStandIn(
+    address: NodeAddress,
+) : AutoCloseable {
+    /** All changes so far; tests may write to it directly, as another client of the store would. */
+    val history = StoreHistory()
+
+    private val currentFaults = AtomicReference(StoreFaults())
+    private val reads = AtomicLong()
+    private val writes = AtomicLong()
+    private val watches = AtomicLong()
+    private val silencedBefore = AtomicLong()
+    private val javalin = Javalin.create(::configure).start(address.host, address.port)
+
+    /** Where it listens. */
+    val address = NodeAddress(address.host, javalin.port())
+
+    /** What goes wrong at present. */
+    var faults: StoreFaults
+        get() = currentFaults.get()
+        set(value) {
+            currentFaults.set(value)
+            if (value.availability == StoreAvailability.HANGING) silenceWatches()
+        }
+
+    /** Calls since the start. */
+    val calls: StoreCallCounts
+        get() = StoreCallCounts(reads = reads.get(), writes = writes.get(), watches = watches.get())
+
+    /** Makes all watches that are open now go silent for good, without ending their connections. */
+    fun silenceWatches() = silencedBefore.set(watches.get())
+
+    override fun close() {
+        javalin.stop()
+    }
+
+    private fun configure(config: JavalinConfig) {
+        config.startup.showJavalinBanner = false
+        config.routes.post("/v3/kv/range") { context -> counted(context, reads) { range(context) } }
+        config.routes.post("/v3/kv/txn") { context -> counted(context, writes) { transaction(context) } }
+        config.routes.post("/v3/watch") { context -> counted(context, watches) { watch(context) } }
+        config.routes.get("/control/faults") { context -> answer(context, EtcdMessages.json.encodeToString(faults)) }
+        config.routes.put("/control/faults") { context ->
+            faults = EtcdMessages.json.decodeFromString<StoreFaults>(context.body())
+        }
+        config.routes.post("/control/silence-watches") { silenceWatches() }
+        config.routes.get("/control/calls") { context -> answer(context, EtcdMessages.json.encodeToString(calls)) }
+    }
+
+    private fun counted(
+        context: Context,
+        counter: AtomicLong,
+        body: () -> Unit,
+    ) {
+        counter.incrementAndGet()
+        Thread.sleep(faults.delayMillis)
+        while (faults.availability == StoreAvailability.HANGING) Thread.sleep(POLL_MILLIS)
+        if (faults.availability == StoreAvailability.REFUSING) context.status(HTTP_UNAVAILABLE) else body()
+    }
+
+    private fun range(context: Context) {
+        val request = EtcdMessages.json.decodeFromString<RangeRequest>(context.body())
+        answer(context, EtcdMessages.json.encodeToString(rangeOf(request)))
+    }
+
+    private fun rangeOf(request: RangeRequest): RangeResponse {
+        val revision = faults.readRevision ?: history.revision
+        val entries =
+            history.read(
+                from = EtcdMessages.decode(request.key),
+                until = request.rangeEnd?.let(EtcdMessages::decode),
+                atRevision = revision,
+            )
+        return RangeResponse(
+            header = ResponseHeader(revision),
+            kvs = entries.filter { it.revision >= request.minModRevision }.map(::pairOf),
+        )
+    }
+
+    private fun transaction(context: Context) {
+        val request = EtcdMessages.json.decodeFromString<TransactionRequest>(context.body())
+        val comparison = request.compare.single()
+        val put = requireNotNull(request.success.single().put) { "A transaction must put." }
+        val stored =
+            history.compareAndSwap(
+                key = EtcdMessages.decode(comparison.key),
+                expectedRevision = comparison.modRevision,
+                value = EtcdMessages.decode(put.value),
+            )
+        val responses = if (stored) emptyList() else request.failure.map { ResponseOperation(it.range?.let(::rangeOf)) }
+        val response = TransactionResponse(ResponseHeader(history.revision), stored, responses)
+        if (losesAnswer()) breakConnection(context) else answer(context, EtcdMessages.json.encodeToString(response))
+    }
+
+    private fun losesAnswer(): Boolean {
+        val before = currentFaults.getAndUpdate { it.copy(lostAnswers = (it.lostAnswers - 1).coerceAtLeast(0)) }
+        return before.lostAnswers > 0
+    }
+
+    /** Promises more bytes than it sends, so that the server ends the connection in the middle of the answer. */
+    private fun breakConnection(context: Context) {
+        context.res().setContentLength(UNSENT_BYTES)
+        context.res().outputStream.write('{'.code)
+        context.res().outputStream.flush()
+    }
+
+    private fun watch(context: Context) {
+        val number = watches.get()
+        val request = EtcdMessages.json.decodeFromString<WatchRequest>(context.body()).create
+        val output = context.contentType(JSON).res().outputStream
+        try {
+            send(output, WatchResponse(ResponseHeader(history.revision), created = true))
+            var sent = request.startRevision - 1
+            while (faults.availability != StoreAvailability.REFUSING) {
+                sent = sendChanges(output, request.key, request.rangeEnd, sent, number > silencedBefore.get())
+            }
+        } catch (_: IOException) {
+            // The client has gone.
+        }
+    }
+
+    private fun sendChanges(
+        output: OutputStream,
+        key: String,
+        rangeEnd: String?,
+        sent: Long,
+        audible: Boolean,
+    ): Long {
+        val changes =
+            history.changesAfter(
+                from = EtcdMessages.decode(key),
+                until = rangeEnd?.let(EtcdMessages::decode),
+                afterRevision = sent,
+                waitMillis = POLL_MILLIS,
+            )
+        val last = changes.lastOrNull()?.revision ?: sent
+        when {
+            !audible -> keepOpen(output)
+            changes.isEmpty() -> keepOpen(output)
+            else -> send(output, WatchResponse(ResponseHeader(last), events = changes.map(::eventOf)))
+        }
+        return last
+    }
+
+    /** Sends white space, which a reader skips, in order to notice that the client has gone. */
+    private fun keepOpen(output: OutputStream) {
+        output.write('\n'.code)
+        output.flush()
+    }
+
+    private fun send(
+        output: OutputStream,
+        response: WatchResponse,
+    ) {
+        output.write((EtcdMessages.json.encodeToString(WatchMessage(response)) + "\n").toByteArray())
+        output.flush()
+    }
+
+    private fun eventOf(entry: StoreEntry): WatchEvent =
+        WatchEvent(
+            type = if (entry.value == null) WatchEvent.TYPE_DELETE else WatchEvent.TYPE_PUT,
+            kv = pairOf(entry),
+        )
+
+    private fun pairOf(entry: StoreEntry): KeyValue =
+        KeyValue(
+            key = EtcdMessages.encode(entry.key),
+            value = EtcdMessages.encode(entry.value.orEmpty()),
+            modRevision = entry.revision,
+        )
+
+    private fun answer(
+        context: Context,
+        body: String,
+    ) {
+        context.contentType(JSON).result(body)
+    }
+
+    private companion object {
+        const val JSON = "application/json"
+        const val HTTP_UNAVAILABLE = 503
+        const val POLL_MILLIS = 200L
+        const val UNSENT_BYTES = 1_000
+    }
+}
--- /dev/null
+++ b/egretlock-testing/src/test/kotlin/io/egretlock/testing/store/EtcdStoreTest.kt
@@ -0,0 +1,125 @@
+package io.egretlock.testing.store
+
+import io.egretlock.core.roster.NodeAddress
+import io.egretlock.platform.StoreEntry
+import io.egretlock.platform.StoreException
+import io.egretlock.platform.StoreOutcomeUnknownException
+import io.egretlock.platform.StoreSnapshot
+import io.egretlock.platform.SwapResult
+import io.egretlock.platform.etcd.EtcdStore
+import io.egretlock.platform.etcd.EtcdStoreSettings
+import kotlinx.coroutines.flow.first
+import kotlinx.coroutines.flow.take
+import kotlinx.coroutines.flow.toList
+import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withTimeout
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertThrows
+import org.junit.jupiter.api.Test
+
+class EtcdStoreTest {
+    private val standIn = StoreStandIn(NodeAddress("127.0.0.1", 0))
+    private val store = EtcdStore(EtcdStoreSettings(listOf(standIn.address), callMillis = CALL_MILLIS))
+
+    @AfterEach
+    fun closeBoth() {
+        store.close()
+        standIn.close()
+    }
+
+    @Test
+    fun `given an absent key, when swapped at revision 0, then it is stored and read back`() =
+        within {
+            assertEquals(SwapResult.Stored(2), store.compareAndSwap("/a/x", 0, "Ämter"))
+            assertEquals(StoreSnapshot(listOf(StoreEntry("/a/x", "Ämter", 2)), 2), store.read("/a/"))
+        }
+
+    @Test
+    fun `given a key that changed, when swapped at its old revision, then the present entry is returned`() =
+        within {
+            standIn.history.put("/a/x", "one")
+            standIn.history.put("/a/x", "two")
+            assertEquals(SwapResult.Conflict(StoreEntry("/a/x", "two", 3)), store.compareAndSwap("/a/x", 2, "three"))
+        }
+
+    @Test
+    fun `given a key that is absent, when swapped at a revision, then nothing is stored`() =
+        within {
+            assertEquals(SwapResult.Conflict(null), store.compareAndSwap("/a/x", 2, "three"))
+        }
+
+    @Test
+    fun `given several changes, when read after a revision, then only later ones are returned`() =
+        within {
+            standIn.history.put("/a/x", "one")
+            standIn.history.put("/a/y", "two")
+            standIn.history.put("/b/z", "three")
+            assertEquals(StoreSnapshot(listOf(StoreEntry("/a/y", "two", 3)), 4), store.read("/a/", changedAfter = 2))
+        }
+
+    @Test
+    fun `given a watch from a revision, when keys change, then all later changes arrive in order`() =
+        within {
+            standIn.history.put("/a/x", "one")
+            standIn.history.put("/a/x", "two")
+            standIn.history.put("/a/x", null)
+            val expected = listOf(StoreEntry("/a/x", "two", 3), StoreEntry("/a/x", null, 4))
+            assertEquals(expected, store.watch("/a/", 2).take(2).toList())
+        }
+
+    @Test
+    fun `given a write whose answer is lost, when swapped, then the outcome is unknown and the write stands`() {
+        standIn.faults = StoreFaults(lostAnswers = 1)
+        assertThrows(StoreOutcomeUnknownException::class.java) { within { store.compareAndSwap("/a/x", 0, "one") } }
+        assertEquals(listOf(StoreEntry("/a/x", "one", 2)), standIn.history.read("/a/x", until = null))
+    }
+
+    @Test
+    fun `given a store that hangs, when read, then the call fails and later ones succeed again`() {
+        standIn.faults = StoreFaults(availability = StoreAvailability.HANGING)
+        assertThrows(StoreException::class.java) { within { store.read("/a/") } }
+        standIn.faults = StoreFaults()
+        assertEquals(emptyList<StoreEntry>(), within { store.read("/a/").entries })
+    }
+
+    @Test
+    fun `given a store that refuses, when watched, then the watch fails with the status`() {
+        standIn.faults = StoreFaults(availability = StoreAvailability.REFUSING)
+        val failure = assertThrows(StoreException::class.java) { within { store.watch("/a/", 1).first() } }
+        assertEquals("The store gave no answer: The store answered HTTP 503.", failure.message)
+    }
+
+    @Test
+    fun `given two endpoints with the first gone, when called twice, then the second answers`() =
+        within {
+            val gone = StoreStandIn(NodeAddress("127.0.0.1", 0)).also { it.close() }
+            EtcdStore(EtcdStoreSettings(listOf(gone.address, standIn.address))).use { both ->
+                assertThrows(StoreException::class.java) { runBlocking { both.read("/a/") } }
+                assertEquals(1, both.read("/a/").revision)
+            }
+        }
+
+    @Test
+    fun `given an endpoint that is gone, when swapped, then the write is known not to have happened`() {
+        standIn.close()
+        val failure = assertThrows(StoreException::class.java) { within { store.compareAndSwap("/a/x", 0, "one") } }
+        assertEquals(false, failure is StoreOutcomeUnknownException)
+    }
+
+    @Test
+    fun `given reads from an older state, when read, then that state and its revision are returned`() =
+        within {
+            standIn.history.put("/a/x", "one")
+            standIn.history.put("/a/x", "two")
+            standIn.faults = StoreFaults(readRevision = 2)
+            assertEquals(StoreSnapshot(listOf(StoreEntry("/a/x", "one", 2)), 2), store.read("/a/"))
+        }
+
+    private fun <T> within(body: suspend () -> T): T = runBlocking { withTimeout(DEADLINE_MILLIS) { body() } }
+
+    private companion object {
+        const val CALL_MILLIS = 1_000L
+        const val DEADLINE_MILLIS = 20_000L
+    }
+}
