--- a/egretlock-core/src/main/kotlin/io/egretlock/core/settings/TeamSettings.kt
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/settings/TeamSettings.kt
@@ -1,5 +1,6 @@
 package io.egretlock.core.settings
 
+import io.egretlock.core.job.OperationName
 import io.egretlock.core.job.ServiceName
 import io.egretlock.core.job.TeamName
 import kotlinx.serialization.Serializable
@@ -9,17 +10,32 @@
  *
  * @property weight share of contended slots relative to other teams; larger than 0.
  * @property services the services that the team may submit to, with its limits for each.
+ * @property closedOperations operations whose new jobs are refused as not run; accepted ones finish.
  */
 @Serializable
 data class TeamSettings(
     val team: TeamName,
     val weight: Double = 1.0,
     val services: List<ServiceSettings> = emptyList(),
+    val closedOperations: List<OperationReference> = emptyList(),
 ) {
     /** Limits of [name] for this team; null if the team has no such service. */
     fun service(name: ServiceName): ServiceSettings? = services.firstOrNull { it.name == name }
+
+    /** Whether new jobs with [operation] of [service] are refused. */
+    fun isClosed(
+        service: ServiceName,
+        operation: OperationName,
+    ): Boolean = closedOperations.any { it.service == service && it.operation == operation }
 }
 
+/** An operation of one of the team's services. */
+@Serializable
+data class OperationReference(
+    val service: ServiceName,
+    val operation: OperationName,
+)
+
 /**
  * Limits and policy of one team for one service.
  *
--- /dev/null
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/settings/TeamSettingsBuilder.kt
@@ -0,0 +1,96 @@
+package io.egretlock.core.settings
+
+import io.egretlock.core.job.OperationName
+import io.egretlock.core.job.ServiceName
+import io.egretlock.core.job.TeamName
+
+/** Marks the builders of settings, so that an inner block can't set values of an outer one by mistake. */
+@DslMarker
+annotation class SettingsDsl
+
+/**
+ * Builds checked settings of [team]; throws [InvalidSettingsException] with every fault.
+ *
+ * ```
+ * teamSettings("haddad") {
+ *     service("beatday-booking") { concurrency = 88 }
+ * }
+ * ```
+ */
+fun teamSettings(
+    team: String,
+    build: TeamSettingsBuilder.() -> Unit,
+): TeamSettings {
+    val settings = TeamSettingsBuilder(TeamName(team)).apply(build).build()
+    val faults = SettingsCheck.faultsOf(settings)
+    if (faults.isNotEmpty()) throw InvalidSettingsException(faults)
+    return settings
+}
+
+/** Collects the settings of one team. */
+@SettingsDsl
+class TeamSettingsBuilder internal constructor(
+    team: TeamName,
+) {
+    private val defaults = TeamSettings(team)
+    private val services = mutableListOf<ServiceSettings>()
+    private val closedOperations = mutableListOf<OperationReference>()
+
+    /** See [TeamSettings.weight]. */
+    var weight: Double = defaults.weight
+
+    /** Adds a service. */
+    fun service(
+        name: String,
+        build: ServiceSettingsBuilder.() -> Unit = {},
+    ) {
+        services += ServiceSettingsBuilder(ServiceName(name)).apply(build).build()
+    }
+
+    /** Refuses new jobs with [operation] of [service]. */
+    fun closedOperation(
+        service: String,
+        operation: String,
+    ) {
+        closedOperations += OperationReference(ServiceName(service), OperationName(operation))
+    }
+
+    internal fun build(): TeamSettings =
+        defaults.copy(weight = weight, services = services.toList(), closedOperations = closedOperations.toList())
+}
+
+/** Collects the settings of one service; see [ServiceSettings] for the properties. */
+@SettingsDsl
+class ServiceSettingsBuilder internal constructor(
+    name: ServiceName,
+) {
+    private val defaults = ServiceSettings(name)
+
+    /** Tasks that may run at once. */
+    var concurrency: Int = defaults.concurrency
+
+    /** Tasks that may wait at one entry. */
+    var longestQueue: Int = defaults.longestQueue
+
+    /** Longest deadline of a job, in milliseconds. */
+    var longestDeadlineMillis: Long = defaults.longestDeadlineMillis
+
+    /** Tasks that one job may have. */
+    var largestJob: Int = defaults.largestJob
+
+    /** Share of an agent's slots that long tasks may hold, from 0 to 1. */
+    var longShare: Double = defaults.longShare
+
+    /** Whether an agent that fails all it starts loses its credits. */
+    var guards: Boolean = defaults.guards
+
+    internal fun build(): ServiceSettings =
+        defaults.copy(
+            concurrency = concurrency,
+            longestQueue = longestQueue,
+            longestDeadlineMillis = longestDeadlineMillis,
+            largestJob = largestJob,
+            longShare = longShare,
+            guards = guards,
+        )
+}
