Add the home of a job: claims, progress and the one outcome

Cause: the entry needs its decisions free of I/O, so that faults can be tested without processes. Ruled out: keeping answers per task in the process (a partial answer could leak out); retrying on a lost agent (the task may have run). Change: `Home` with typed effects, attempts numbered per task, reconciliation after a reconnection, a first in first out dispatcher as the baseline. Result: 8 tests of the home green.

--- /dev/null
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/home/Home.kt
@@ -0,0 +1,285 @@
+package io.egretlock.core.home
+
+import io.egretlock.core.job.Job
+import io.egretlock.core.job.JobId
+import io.egretlock.core.job.JobOutcome
+import io.egretlock.core.job.ProcessId
+import io.egretlock.core.job.Reason
+import io.egretlock.core.job.ServiceName
+import io.egretlock.core.job.TaskId
+import io.egretlock.core.job.TaskOutcome
+import io.egretlock.core.job.Verdict
+import io.egretlock.core.placement.Admission
+import io.egretlock.core.placement.AgentView
+import io.egretlock.core.settings.StoredTeamSettings
+
+/**
+ * The jobs whose home is one entry: claims, progress, and the one outcome of each.
+ *
+ * Does no I/O and reads no clock: callers pass monotonic milliseconds, and carry out the effects that [drain] returns
+ * after each call, in order. Confined to one task; not safe for concurrent use.
+ */
+class Home(
+    private val dispatchers: ServiceDispatchers,
+    private val limits: HomeLimits = HomeLimits(),
+) {
+    private val jobs = HomeJobs(limits.retentionMillis)
+    private val agents = HomeAgents()
+    private val effects = mutableListOf<HomeEffect>()
+
+    /** Jobs that have not ended. */
+    val liveJobs: Int
+        get() = jobs.live
+
+    /** Jobs that are known here, ended ones included. */
+    val knownJobs: Int
+        get() = jobs.known
+
+    /** Effects of the calls since the last drain, in order. */
+    fun drain(nowMillis: Long): List<HomeEffect> {
+        startTasks(nowMillis)
+        requestCredits()
+        return effects.toList().also { effects.clear() }
+    }
+
+    /** Applies the settings of a team, also to queued work. */
+    fun applySettings(settings: StoredTeamSettings) = dispatchers.applySettings(settings)
+
+    /** Claims a job or joins the claim that stands. */
+    fun submit(
+        job: Job,
+        remainingMillis: Long,
+        nowMillis: Long,
+    ): Submission {
+        val known = jobs[job.id]
+        return when {
+            known == null -> claim(job, remainingMillis, nowMillis)
+            known.job != job -> Submission.Ended(JobOutcome.WithoutAnswer(conflict(job)))
+            else -> known.outcome?.let { Submission.Ended(it) } ?: Submission.Waiting
+        }
+    }
+
+    /** Ends a job at its caller's wish. Returns null if the job is not known here. */
+    fun cancel(
+        job: JobId,
+        nowMillis: Long,
+    ): JobOutcome? {
+        val known = jobs[job] ?: return null
+        if (known.outcome ==
+            null
+        ) {
+            end(known, cutShort(known, Reason.CANCELLED, "The caller cancelled the job."), nowMillis)
+        }
+        return known.outcome
+    }
+
+    /** How far a job is; null if it is not known here. */
+    fun state(job: JobId): JobProgress? =
+        jobs[job]?.let { known ->
+            when (known.outcome) {
+                null -> if (known.mayHaveStarted) JobProgress.RUNNING else JobProgress.QUEUED
+                is JobOutcome.Complete -> JobProgress.COMPLETE
+                is JobOutcome.WithoutAnswer -> JobProgress.WITHOUT_ANSWER
+            }
+        }
+
+    /**
+     * An agent has connected, or announces something else; [view] is null while it has no upstream. An earlier
+     * incarnation of the agent is given up.
+     */
+    fun agentConnected(
+        agent: ProcessId,
+        view: AgentView?,
+        nowMillis: Long,
+    ) {
+        agents.earlierIncarnation(agent)?.let { agentGone(it, nowMillis) }
+        val reconnected = agents.connected(agent, view)
+        if (view == null) dispatchers.agentLost(agent) else dispatchers.agentChanged(view)
+        if (reconnected) reconcile(agent)
+    }
+
+    /** The connection to an agent ended; its unused credits end with it. */
+    fun agentDisconnected(
+        agent: ProcessId,
+        nowMillis: Long,
+    ) {
+        agents.disconnected(agent, nowMillis)
+        dispatchers.agentLost(agent)
+    }
+
+    /** More tasks may be started on [agent]. */
+    fun creditsGranted(
+        agent: ProcessId,
+        count: Int,
+    ) = dispatchers.creditsGranted(agent, count)
+
+    /** The agent wants unused credits back. */
+    fun creditsRecalled(
+        agent: ProcessId,
+        count: Int,
+    ) {
+        effects += HomeEffect.ReturnCredits(agent, dispatchers.creditsRecalled(agent, count))
+    }
+
+    /** A task ended at its agent; repeated reports are acknowledged and otherwise ignored. */
+    fun taskFinished(
+        agent: ProcessId,
+        task: TaskId,
+        outcome: TaskOutcome,
+        runMillis: Long,
+        nowMillis: Long,
+    ) {
+        effects += HomeEffect.AcknowledgeTask(agent, task)
+        val known = jobs[task.job] ?: return
+        val progress = known.progress(task.index)
+        if (progress !is TaskProgress.Placed || progress.agent != agent) return
+        agents.removed(agent, task)
+        dispatchers.taskEnded(known.job.service, task, agent, runMillis, outcome is TaskOutcome.Succeeded, nowMillis)
+        if (known.outcome != null) return
+        when (outcome) {
+            is TaskOutcome.Succeeded -> answered(known, task, outcome.answer, nowMillis)
+            is TaskOutcome.Ended -> end(known, JobOutcome.WithoutAnswer(ranAndFailed(outcome.verdict)), nowMillis)
+        }
+    }
+
+    /** An attempt has not started and never will: the task is queued again unless its job has ended. */
+    fun attemptNeverStarts(
+        agent: ProcessId,
+        attempt: PlacedAttempt,
+        nowMillis: Long,
+    ) {
+        val known = jobs[attempt.task.job] ?: return
+        val progress = known.progress(attempt.task.index)
+        if (progress != TaskProgress.Placed(agent, attempt.number)) return
+        agents.removed(agent, attempt.task)
+        known.unplace(attempt.task.index)
+        if (known.outcome == null) dispatchers.taskReturned(known.job.service, attempt.task, nowMillis)
+    }
+
+    /** Ends overdue jobs, gives up agents that stayed away, and forgets outcomes past their retention. */
+    fun tick(nowMillis: Long) {
+        agents.awayLongerThan(limits.agentGraceMillis, nowMillis).forEach { agentGone(it, nowMillis) }
+        jobs
+            .takeOverdue(
+                nowMillis,
+            ).forEach { end(it, cutShort(it, Reason.DEADLINE, "The deadline has passed."), nowMillis) }
+        jobs.forgetExpired(nowMillis)
+    }
+
+    /** Jobs that have not ended, in order of arrival. */
+    fun liveJobIds(): List<JobId> = jobs.liveIds()
+
+    private fun claim(
+        job: Job,
+        remainingMillis: Long,
+        nowMillis: Long,
+    ): Submission {
+        val claimed = HomeJob(job, nowMillis + remainingMillis)
+        jobs.add(claimed)
+        return when (val admission = dispatchers.submit(job, claimed.deadlineAtMillis, nowMillis)) {
+            is Admission.Admitted -> Submission.Waiting
+            is Admission.Refused -> {
+                val outcome = JobOutcome.WithoutAnswer(admission.verdict)
+                jobs.ended(claimed, outcome, nowMillis)
+                Submission.Ended(outcome)
+            }
+        }
+    }
+
+    private fun startTasks(nowMillis: Long) {
+        for ((task, agent) in dispatchers.placements(nowMillis)) {
+            val known = checkNotNull(jobs[task.job]) { "Task '$task' was placed, but its job is not known." }
+            val number = known.place(task.index, agent)
+            agents.placed(agent, task)
+            effects +=
+                HomeEffect.StartTask(
+                    agent = agent,
+                    attempt = PlacedAttempt(task, number),
+                    team = known.job.team,
+                    specification = known.job.tasks[task.index],
+                    remainingMillis = known.deadlineAtMillis - nowMillis,
+                )
+        }
+    }
+
+    private fun requestCredits() {
+        effects += agents.changedWants { service: ServiceName -> dispatchers.creditsWanted(service) }
+    }
+
+    private fun reconcile(agent: ProcessId) {
+        val attempts = agents.tasksOn(agent).mapNotNull { attemptOn(agent, it) }
+        if (attempts.isNotEmpty()) effects += HomeEffect.ReconcileTasks(agent, attempts)
+    }
+
+    private fun attemptOn(
+        agent: ProcessId,
+        task: TaskId,
+    ): PlacedAttempt? =
+        (jobs[task.job]?.progress(task.index) as? TaskProgress.Placed)
+            ?.takeIf { it.agent == agent }
+            ?.let { PlacedAttempt(task, it.attempt) }
+
+    private fun agentGone(
+        agent: ProcessId,
+        nowMillis: Long,
+    ) {
+        val verdict = Verdict.MayHaveRun(Reason.AGENT_LOST, "Agent '$agent' was lost while it held a task of the job.")
+        dispatchers.agentLost(agent)
+        agents
+            .forget(agent)
+            .mapNotNull { jobs[it.job] }
+            .filter { it.outcome == null }
+            .forEach { end(it, JobOutcome.WithoutAnswer(verdict), nowMillis) }
+    }
+
+    private fun answered(
+        known: HomeJob,
+        task: TaskId,
+        answer: String,
+        nowMillis: Long,
+    ) {
+        known.answer(task.index, answer)
+        known.answers()?.let { end(known, JobOutcome.Complete(it), nowMillis) }
+    }
+
+    private fun end(
+        known: HomeJob,
+        outcome: JobOutcome,
+        nowMillis: Long,
+    ) {
+        dispatchers.withdraw(known.job.service, known.job.id)
+        known.placedTasks.forEach { (task, placed) -> effects += HomeEffect.CancelTask(placed.agent, task) }
+        jobs.ended(known, outcome, nowMillis)
+        effects += HomeEffect.JobEnded(known.job.id, outcome)
+    }
+
+    private fun cutShort(
+        known: HomeJob,
+        reason: Reason,
+        detail: String,
+    ): JobOutcome =
+        JobOutcome.WithoutAnswer(
+            if (known.mayHaveStarted) Verdict.MayHaveRun(reason, detail) else Verdict.NotRun(reason, detail),
+        )
+
+    /** A task that an agent reports as ended was started, so that no verdict on it may claim the contrary. */
+    private fun ranAndFailed(verdict: Verdict): Verdict =
+        if (verdict is Verdict.NotRun) Verdict.MayHaveRun(verdict.reason, verdict.detail) else verdict
+
+    private fun conflict(job: Job) =
+        Verdict.NotRun(Reason.CONFLICTING_BODY, "Job '${job.id}' was submitted before with another body.")
+}
+
+/** Answer of a [Home] to a submission. */
+sealed interface Submission {
+    /** The job has not ended; [HomeEffect.JobEnded] will tell. */
+    data object Waiting : Submission
+
+    /** The job ended, now or before. */
+    data class Ended(
+        val outcome: JobOutcome,
+    ) : Submission
+}
+
+/** How far a job is. */
+enum class JobProgress { QUEUED, RUNNING, COMPLETE, WITHOUT_ANSWER }
--- /dev/null
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/home/ServiceDispatchers.kt
@@ -0,0 +1,109 @@
+package io.egretlock.core.home
+
+import io.egretlock.core.job.Job
+import io.egretlock.core.job.JobId
+import io.egretlock.core.job.ProcessId
+import io.egretlock.core.job.Reason
+import io.egretlock.core.job.ServiceName
+import io.egretlock.core.job.TaskId
+import io.egretlock.core.job.TeamName
+import io.egretlock.core.job.Verdict
+import io.egretlock.core.placement.Admission
+import io.egretlock.core.placement.AgentView
+import io.egretlock.core.placement.Dispatcher
+import io.egretlock.core.placement.Placement
+import io.egretlock.core.settings.StoredTeamSettings
+
+/** One [Dispatcher] for each service, made by [create] when the service is first heard of. */
+class ServiceDispatchers(
+    private val create: (ServiceName) -> Dispatcher,
+) {
+    private val dispatchers = linkedMapOf<ServiceName, Dispatcher>()
+    private val services = mutableMapOf<ProcessId, ServiceName>()
+    private val teams = linkedMapOf<TeamName, StoredTeamSettings>()
+
+    internal fun applySettings(settings: StoredTeamSettings) {
+        val known = teams[settings.settings.team]
+        if (known != null && known.revision >= settings.revision) return
+        teams[settings.settings.team] = settings
+        dispatchers.values.forEach { it.applySettings(settings) }
+    }
+
+    internal fun agentChanged(view: AgentView) {
+        val before = services.put(view.agent, view.upstream.service)
+        if (before != null && before != view.upstream.service) dispatchers[before]?.agentLost(view.agent)
+        dispatcher(view.upstream.service).agentChanged(view)
+    }
+
+    internal fun agentLost(agent: ProcessId) {
+        services.remove(agent)?.let { dispatchers[it]?.agentLost(agent) }
+    }
+
+    internal fun creditsGranted(
+        agent: ProcessId,
+        count: Int,
+    ) {
+        of(agent)?.creditsGranted(agent, count)
+    }
+
+    internal fun creditsRecalled(
+        agent: ProcessId,
+        count: Int,
+    ): Int = of(agent)?.creditsRecalled(agent, count) ?: 0
+
+    internal fun submit(
+        job: Job,
+        deadlineAtMillis: Long,
+        nowMillis: Long,
+    ): Admission {
+        val team = teams[job.team]
+        return when {
+            team == null -> refused(Reason.UNKNOWN_TEAM, "Team '${job.team}' has no settings.")
+            team.settings.service(job.service) == null ->
+                refused(Reason.UNKNOWN_SERVICE, "Team '${job.team}' has no service '${job.service}'.")
+            else -> dispatcher(job.service).submit(job, deadlineAtMillis, nowMillis)
+        }
+    }
+
+    internal fun placements(nowMillis: Long): List<Placement> = dispatchers.values.flatMap { it.placements(nowMillis) }
+
+    internal fun taskEnded(
+        service: ServiceName,
+        task: TaskId,
+        agent: ProcessId,
+        runMillis: Long?,
+        succeeded: Boolean,
+        nowMillis: Long,
+    ) {
+        dispatchers[service]?.taskEnded(task, agent, runMillis, succeeded, nowMillis)
+    }
+
+    internal fun taskReturned(
+        service: ServiceName,
+        task: TaskId,
+        nowMillis: Long,
+    ) {
+        dispatchers[service]?.taskReturned(task, nowMillis)
+    }
+
+    internal fun withdraw(
+        service: ServiceName,
+        job: JobId,
+    ) {
+        dispatchers[service]?.withdraw(job)
+    }
+
+    internal fun creditsWanted(service: ServiceName): Int = dispatchers[service]?.creditsWanted() ?: 0
+
+    private fun of(agent: ProcessId): Dispatcher? = services[agent]?.let { dispatchers[it] }
+
+    private fun dispatcher(service: ServiceName): Dispatcher =
+        dispatchers.getOrPut(service) {
+            create(service).also { created -> teams.values.forEach { created.applySettings(it) } }
+        }
+
+    private fun refused(
+        reason: Reason,
+        detail: String,
+    ) = Admission.Refused(Verdict.NotRun(reason, detail))
+}
--- /dev/null
+++ b/egretlock-core/src/test/kotlin/io/egretlock/core/home/HomeTest.kt
@@ -0,0 +1,147 @@
+package io.egretlock.core.home
+
+import io.egretlock.core.job.FailureDomain
+import io.egretlock.core.job.Job
+import io.egretlock.core.job.JobId
+import io.egretlock.core.job.JobOutcome
+import io.egretlock.core.job.OperationName
+import io.egretlock.core.job.ProcessId
+import io.egretlock.core.job.Reason
+import io.egretlock.core.job.ServiceName
+import io.egretlock.core.job.TaskId
+import io.egretlock.core.job.TaskOutcome
+import io.egretlock.core.job.TaskSpecification
+import io.egretlock.core.job.TeamName
+import io.egretlock.core.job.Verdict
+import io.egretlock.core.placement.AgentView
+import io.egretlock.core.placement.FirstInFirstOutDispatcher
+import io.egretlock.core.placement.UpstreamAnnouncement
+import io.egretlock.core.settings.ServiceSettings
+import io.egretlock.core.settings.StoredTeamSettings
+import io.egretlock.core.settings.TeamSettings
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+
+class HomeTest {
+    private val service = ServiceName("beatday-booking")
+    private val team = TeamName("haddad")
+    private val agent = ProcessId("agent-1", 1)
+    private val home =
+        Home(ServiceDispatchers { FirstInFirstOutDispatcher() }).apply {
+            applySettings(StoredTeamSettings(1, TeamSettings(team, services = listOf(ServiceSettings(service)))))
+        }
+
+    @Test
+    fun `given credits, when a job is submitted, then each task starts once`() {
+        connect(agent, credits = 8)
+        home.submit(job("a", tasks = 3), remainingMillis = 1_000, nowMillis = 0)
+        assertEquals(listOf(0, 1, 2), starts(0).map { it.attempt.task.index })
+        home.submit(job("a", tasks = 3), remainingMillis = 1_000, nowMillis = 1)
+        assertEquals(emptyList<HomeEffect.StartTask>(), starts(1))
+    }
+
+    @Test
+    fun `given all tasks answered, when the last one ends, then the answers are whole and in task order`() {
+        connect(agent, credits = 8)
+        home.submit(job("a", tasks = 2), remainingMillis = 1_000, nowMillis = 0)
+        home.drain(0)
+        finish(agent, "a", 1, TaskOutcome.Succeeded("second"))
+        finish(agent, "a", 0, TaskOutcome.Succeeded("first"))
+        assertEquals(listOf(JobOutcome.Complete(listOf("first", "second"))), ended(1))
+    }
+
+    @Test
+    fun `given the same id with another body, when submitted, then the second is refused and not run`() {
+        connect(agent, credits = 8)
+        home.submit(job("a", tasks = 2), remainingMillis = 1_000, nowMillis = 0)
+        val second = home.submit(job("a", tasks = 3), remainingMillis = 1_000, nowMillis = 0) as Submission.Ended
+        assertEquals(Reason.CONFLICTING_BODY, (second.outcome as JobOutcome.WithoutAnswer).verdict.reason)
+    }
+
+    @Test
+    fun `given a placed task, when a new incarnation of its agent connects, then the job may have run`() {
+        connect(agent, credits = 8)
+        home.submit(job("a", tasks = 1), remainingMillis = 1_000, nowMillis = 0)
+        home.drain(0)
+        connect(ProcessId("agent-1", 2), credits = 8)
+        assertTrue(verdicts(1).single() is Verdict.MayHaveRun)
+    }
+
+    @Test
+    fun `given a placed task, when its agent reconnects and never saw it, then it starts again as a new attempt`() {
+        connect(agent, credits = 1)
+        home.submit(job("a", tasks = 1), remainingMillis = 10_000, nowMillis = 0)
+        home.drain(0)
+        home.agentDisconnected(agent, 1)
+        connect(agent, credits = 1)
+        val asked = home.drain(2).filterIsInstance<HomeEffect.ReconcileTasks>().single()
+        home.attemptNeverStarts(agent, asked.attempts.single(), 3)
+        assertEquals(listOf(2), starts(3).map { it.attempt.number })
+    }
+
+    @Test
+    fun `given a placed task, when its agent stays away past the grace, then the job may have run`() {
+        connect(agent, credits = 1)
+        home.submit(job("a", tasks = 1), remainingMillis = 60_000, nowMillis = 0)
+        home.drain(0)
+        home.agentDisconnected(agent, 1)
+        home.tick(5_002)
+        assertTrue(verdicts(5_002).single() is Verdict.MayHaveRun)
+    }
+
+    @Test
+    fun `given no task was placed, when the deadline passes, then the job has not run and never starts`() {
+        connect(agent, credits = 0)
+        home.submit(job("a", tasks = 1), remainingMillis = 100, nowMillis = 0)
+        home.tick(100)
+        assertTrue(verdicts(100).single() is Verdict.NotRun)
+        home.creditsGranted(agent, 1)
+        assertEquals(emptyList<HomeEffect.StartTask>(), starts(101))
+    }
+
+    @Test
+    fun `given an agent reports not run for a started task, when the job ends, then its verdict is may have run`() {
+        connect(agent, credits = 1)
+        home.submit(job("a", tasks = 1), remainingMillis = 100, nowMillis = 0)
+        home.drain(0)
+        finish(agent, "a", 0, TaskOutcome.Ended(Verdict.NotRun(Reason.UPSTREAM_LOST, "gone")))
+        assertTrue(verdicts(1).single() is Verdict.MayHaveRun)
+    }
+
+    private fun connect(
+        agent: ProcessId,
+        credits: Int,
+    ) {
+        val upstream = UpstreamAnnouncement(service, slots = 8, connections = 64, address = "http://127.0.0.1:1")
+        home.agentConnected(agent, AgentView(agent, FailureDomain("marka"), upstream), 0)
+        home.creditsGranted(agent, credits)
+    }
+
+    private fun job(
+        id: String,
+        tasks: Int,
+    ) = Job(
+        id = JobId(id),
+        team = team,
+        service = service,
+        createdAtMillis = 0,
+        deadlineMillis = 1_000,
+        tasks = List(tasks) { TaskSpecification(OperationName("reserve"), idempotent = false, payload = "{}") },
+    )
+
+    private fun finish(
+        agent: ProcessId,
+        job: String,
+        index: Int,
+        outcome: TaskOutcome,
+    ) = home.taskFinished(agent, TaskId(JobId(job), index), outcome, runMillis = 5, nowMillis = 1)
+
+    private fun starts(nowMillis: Long) = home.drain(nowMillis).filterIsInstance<HomeEffect.StartTask>()
+
+    private fun ended(nowMillis: Long) =
+        home.drain(nowMillis).filterIsInstance<HomeEffect.JobEnded>().map { it.outcome }
+
+    private fun verdicts(nowMillis: Long) =
+        ended(nowMillis).filterIsInstance<JobOutcome.WithoutAnswer>().map { it.verdict }
+}
