Add the entry: callers' HTTP, home task, links, forwarding, drain

Cause: the thin whole path needs the entry as a process. Ruled out: blocking a server thread for each waiting caller (16 threads would bound the jobs in flight); the roster by flags (it has to come from the store later in any case). Change: jobs are read, checked, routed to their home and answered as JSON or problem+json; one task owns the home and the agents' connections; entries forward to each other and repeat a forward after a reconnection; settings and a first roster are read from the store at an interval (to be replaced by the watcher and the roster keeper).

--- /dev/null
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/EntryEvent.kt
@@ -0,0 +1,24 @@
+package io.egretlock.entry
+
+import io.egretlock.process.Event
+import io.github.oshai.kotlinlogging.Level
+
+/** Numbered log events of an entry; docs/EVENTS.md is their catalogue. */
+enum class EntryEvent(
+    override val number: Int,
+    override val level: Level,
+    override val meaning: String,
+) : Event {
+    STARTED(1000, Level.INFO, "Entry started."),
+    DRAINING(1001, Level.INFO, "Draining: no new jobs are accepted."),
+    STOPPED(1002, Level.INFO, "Entry stopped."),
+    DRAIN_TIMED_OUT(1003, Level.WARN, "Draining took too long; jobs were left."),
+    AGENT_CONNECTED(1100, Level.INFO, "Agent connected."),
+    AGENT_DISCONNECTED(1101, Level.WARN, "Connection to an agent ended."),
+    PEER_CONNECTED(1110, Level.INFO, "Connected to another entry."),
+    PEER_DISCONNECTED(1111, Level.WARN, "Connection to another entry ended."),
+    SETTINGS_APPLIED(1200, Level.INFO, "Settings of a team are in force."),
+    SETTINGS_UNREADABLE(1201, Level.ERROR, "Stored settings of a team cannot be read; the earlier ones stay."),
+    STORE_UNAVAILABLE(1300, Level.WARN, "The key-value service did not answer."),
+    ROSTER_ADOPTED(1400, Level.INFO, "A roster was adopted."),
+}
--- /dev/null
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/EntryProcess.kt
@@ -0,0 +1,131 @@
+package io.egretlock.entry
+
+import io.egretlock.core.home.Home
+import io.egretlock.core.home.ServiceDispatchers
+import io.egretlock.core.job.ProcessId
+import io.egretlock.core.placement.FirstInFirstOutDispatcher
+import io.egretlock.core.roster.EntryMember
+import io.egretlock.core.roster.Roster
+import io.egretlock.core.settings.StoredTeamSettings
+import io.egretlock.platform.KeyValueStore
+import io.egretlock.process.Inspectable
+import io.egretlock.process.OperatorsRoutes
+import io.egretlock.process.event
+import io.egretlock.protocol.EntryHello
+import io.egretlock.protocol.LinkListener
+import io.github.oshai.kotlinlogging.KotlinLogging
+import io.javalin.Javalin
+import io.javalin.config.JavalinConfig
+import io.ktor.network.selector.SelectorManager
+import io.prometheus.metrics.model.registry.PrometheusRegistry
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
+import kotlinx.serialization.encodeToString
+import kotlinx.serialization.json.Json
+import org.eclipse.jetty.util.thread.QueuedThreadPool
+
+private val logger = KotlinLogging.logger {}
+
+/** One entry: its parts, how they are connected, and their start and graceful shutdown. */
+internal class EntryProcess(
+    private val settings: EntrySettings,
+    store: KeyValueStore,
+) : Inspectable {
+    private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
+    private val selector = SelectorManager(Dispatchers.IO)
+    private val self = EntryMember(ProcessId(settings.name, System.currentTimeMillis()), settings.linkAddress)
+    private val registry = PrometheusRegistry()
+    private val drain = Drain()
+    private val home = HomeTask(Home(ServiceDispatchers { FirstInFirstOutDispatcher() }), ::monotonicMillis)
+    private val peers = PeerConnections(EntryHello(self.entry, self.address), selector, settings.timing, scope)
+    private val storeReader = StoreReader(store, self) { home.send(HomeInput.Settings(it)) }
+    private val router = JobRouter(storeReader, home, peers)
+    private val linkServer = LinkServer(self.entry, home, router, knowledge(), scope)
+    private val callers = server { config -> JobRoutes(router, drain, scope).addTo(config) }
+    private val operators = server { config -> OperatorsRoutes(this, registry, settings.operatorToken).addTo(config) }
+    private var listener: LinkListener? = null
+
+    override val ready: Boolean
+        get() = !drain.isDraining && storeReader.rosters().isNotEmpty()
+
+    /** Binds all addresses and starts all parts. Throws if an address is taken. */
+    suspend fun start() {
+        scope.launch { home.run() }
+        scope.launch { storeReader.run() }
+        scope.launch { tick() }
+        listener = LinkListener.bind(settings.linkAddress, selector, scope, settings.timing, linkServer::serve)
+        callers.start(settings.callersAddress.host, settings.callersAddress.port)
+        operators.start(settings.operatorsAddress.host, settings.operatorsAddress.port)
+        logger.event(EntryEvent.STARTED, "entry" to self.entry, "failureDomain" to settings.failureDomain)
+    }
+
+    /** Refuses new jobs, answers those in flight, then stops. */
+    suspend fun stop() {
+        drain.begin()
+        logger.event(EntryEvent.DRAINING, "requests" to drain.requestsInFlight)
+        val drained = withTimeoutOrNull(settings.drainMillis) { awaitDrained() }
+        if (drained == null) logger.event(EntryEvent.DRAIN_TIMED_OUT, "requests" to drain.requestsInFlight)
+        callers.stop()
+        operators.stop()
+        listener?.close()
+        scope.cancel()
+        selector.close()
+        logger.event(EntryEvent.STOPPED, "entry" to self.entry)
+    }
+
+    override suspend fun dump(): String {
+        val reply = CompletableDeferred<HomeDump>()
+        home.send(HomeInput.Dump(reply))
+        return json.encodeToString(EntryDump(self, ready, drain.requestsInFlight, storeReader.rosters(), reply.await()))
+    }
+
+    private suspend fun awaitDrained() {
+        while (drain.requestsInFlight > 0 || liveJobs() > 0) delay(DRAIN_CHECK_MILLIS)
+    }
+
+    private suspend fun liveJobs(): Int {
+        val reply = CompletableDeferred<HomeDump>()
+        home.send(HomeInput.Dump(reply))
+        return reply.await().liveJobs.size
+    }
+
+    private suspend fun tick() {
+        while (true) {
+            home.send(HomeInput.Tick)
+            delay(TICK_MILLIS)
+        }
+    }
+
+    private fun knowledge() =
+        object : SharedKnowledge {
+            override fun rosters(): List<Roster> = storeReader.rosters()
+
+            override fun settings(): List<StoredTeamSettings> = storeReader.settings()
+        }
+
+    private fun server(routes: (JavalinConfig) -> Unit): Javalin =
+        Javalin.create { config ->
+            config.startup.showJavalinBanner = false
+            config.jetty.threadPool = QueuedThreadPool(MOST_SERVER_THREADS, FEWEST_SERVER_THREADS)
+            config.http.maxRequestSize = JobBounds().largestBodyBytes.toLong()
+            routes(config)
+        }
+
+    private companion object {
+        const val TICK_MILLIS = 20L
+        const val DRAIN_CHECK_MILLIS = 20L
+        const val MOST_SERVER_THREADS = 16
+        const val FEWEST_SERVER_THREADS = 4
+        const val NANOS_PER_MILLI = 1_000_000L
+        val json = Json { encodeDefaults = true }
+
+        fun monotonicMillis(): Long = System.nanoTime() / NANOS_PER_MILLI
+    }
+}
+
--- /dev/null
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/EntrySettings.kt
@@ -0,0 +1,106 @@
+package io.egretlock.entry
+
+import io.egretlock.core.job.FailureDomain
+import io.egretlock.core.roster.NodeAddress
+import io.egretlock.process.LogFormat
+import io.egretlock.process.Setting
+import io.egretlock.process.SettingReader
+import io.egretlock.protocol.LinkTiming
+
+/**
+ * Settings of one entry process, read once at start.
+ *
+ * @property callersAddress where callers submit jobs.
+ * @property operatorsAddress where operators edit settings and inspect the process.
+ * @property linkAddress where agents and other entries dial.
+ * @property storeAddresses addresses of the platform's key-value service.
+ * @property operatorToken bearer token for the inspection routes; null where their address is local.
+ * @property drainMillis longest time that a graceful shutdown may take.
+ */
+data class EntrySettings(
+    val name: String,
+    val failureDomain: FailureDomain,
+    val callersAddress: NodeAddress,
+    val operatorsAddress: NodeAddress,
+    val linkAddress: NodeAddress,
+    val storeAddresses: List<NodeAddress>,
+    val operatorToken: String?,
+    val timing: LinkTiming,
+    val drainMillis: Long,
+    val logFormat: LogFormat,
+) {
+    companion object {
+        private val NAME = Setting("name", "Name of this process, unique among entries.")
+        private val FAILURE_DOMAIN = Setting("failure-domain", "Failure domain that this process runs in.")
+        private val CALLERS = Setting("callers-address", "Address for callers.", "127.0.0.1:8080")
+        private val OPERATORS = Setting("operators-address", "Address for operators.", "127.0.0.1:8081")
+        private val LINK = Setting("link-address", "Address that agents and entries dial.", "127.0.0.1:7000")
+        private val STORE = Setting("store-address", "URLs of the key-value service, separated by commas.")
+        private val TOKEN = Setting("operator-token", "Bearer token for inspection; needed if not on loopback.")
+        private val HEARTBEAT = Setting("heartbeat-millis", "Interval between heartbeats.", "500")
+        private val SILENCE = Setting("silence-millis", "Silence that ends a connection.", "2000")
+        private val DRAIN = Setting("drain-millis", "Longest graceful shutdown.", "30000")
+        private val LOG_FORMAT = Setting("log-format", "Form of the log: text or json.", "text")
+        private val HEARTBEAT_RANGE_MILLIS = 10L..10_000L
+        private val SILENCE_RANGE_MILLIS = 50L..60_000L
+        private val DRAIN_RANGE_MILLIS = 0L..600_000L
+
+        /** All settings, for help and for the check of unknown flags. */
+        val ALL: List<Setting> =
+            listOf(
+                NAME,
+                FAILURE_DOMAIN,
+                CALLERS,
+                OPERATORS,
+                LINK,
+                STORE,
+                TOKEN,
+                HEARTBEAT,
+                SILENCE,
+                DRAIN,
+                LOG_FORMAT,
+            )
+
+        /** Settings that a command needs to reach a running entry. */
+        val INSPECTION: List<Setting> = listOf(OPERATORS, TOKEN)
+
+        /** Reads all settings; faults are collected in [reader]. */
+        fun read(reader: SettingReader): EntrySettings =
+            EntrySettings(
+                name = reader.name(NAME),
+                failureDomain = FailureDomain(reader.name(FAILURE_DOMAIN)),
+                callersAddress = reader.address(CALLERS),
+                operatorsAddress = operatorsAddress(reader),
+                linkAddress = reader.address(LINK),
+                storeAddresses = storeAddresses(reader),
+                operatorToken = operatorToken(reader),
+                timing =
+                    LinkTiming(
+                        heartbeatMillis = reader.number(HEARTBEAT, HEARTBEAT_RANGE_MILLIS),
+                        silenceMillis = reader.number(SILENCE, SILENCE_RANGE_MILLIS),
+                    ),
+                drainMillis = reader.number(DRAIN, DRAIN_RANGE_MILLIS),
+                logFormat = LogFormat.valueOf(reader.choice(LOG_FORMAT, listOf("text", "json")).uppercase()),
+            )
+
+        private fun storeAddresses(reader: SettingReader): List<NodeAddress> =
+            reader.read(STORE, "addresses as http://host:port, separated by commas", emptyList()) { text ->
+                val parsed = text.split(',').map { NodeAddress.parse(it.trim().removePrefix("http://")) }
+                parsed.filterNotNull().takeIf { it.size == parsed.size }
+            }
+
+        /** Address of the operators' routes. */
+        fun operatorsAddress(reader: SettingReader): NodeAddress = reader.address(OPERATORS)
+
+        /** Bearer token of the inspection routes; needed where their address is not local. */
+        fun operatorToken(reader: SettingReader): String? {
+            val local = reader.address(OPERATORS).host.startsWith("127.")
+            if (local) return reader.optional(TOKEN)
+            return reader.read(TOKEN, "a token of at least 16 characters, as operators' address is not local", "") { text ->
+                text.takeIf { it.length >= SHORTEST_TOKEN }
+            }
+        }
+
+        private const val SHORTEST_TOKEN = 16
+    }
+}
--- /dev/null
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/HomeTask.kt
@@ -0,0 +1,211 @@
+package io.egretlock.entry
+
+import io.egretlock.core.home.AttemptFate
+import io.egretlock.core.home.Home
+import io.egretlock.core.home.HomeEffect
+import io.egretlock.core.home.PlacedAttempt
+import io.egretlock.core.home.Submission
+import io.egretlock.core.job.JobId
+import io.egretlock.core.job.JobOutcome
+import io.egretlock.core.job.ProcessId
+import io.egretlock.core.job.TeamName
+import io.egretlock.core.placement.AgentView
+import io.egretlock.core.settings.StoredTeamSettings
+import io.egretlock.process.event
+import io.egretlock.protocol.Acknowledge
+import io.egretlock.protocol.AttemptState
+import io.egretlock.protocol.Cancel
+import io.egretlock.protocol.CreditGrant
+import io.egretlock.protocol.CreditRecall
+import io.egretlock.protocol.CreditRequest
+import io.egretlock.protocol.CreditReturn
+import io.egretlock.protocol.Finished
+import io.egretlock.protocol.Message
+import io.egretlock.protocol.Reconcile
+import io.egretlock.protocol.ReconcileReply
+import io.egretlock.protocol.RevokeReply
+import io.egretlock.protocol.SettingsUpdate
+import io.egretlock.protocol.Start
+import io.egretlock.protocol.StartRefused
+import io.egretlock.protocol.TaskAttempt
+import io.egretlock.protocol.UpstreamUpdate
+import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.channels.Channel
+
+private val logger = KotlinLogging.logger {}
+
+/**
+ * The task that owns a [Home] and the connections to agents. All input comes through one channel, so that decisions
+ * are made one at a time.
+ *
+ * @property nowMillis monotonic clock in milliseconds.
+ */
+internal class HomeTask(
+    private val home: Home,
+    private val nowMillis: () -> Long,
+) {
+    private val inputs = Channel<HomeInput>(Channel.UNLIMITED)
+    private val agents = linkedMapOf<ProcessId, ConnectedAgent>()
+    private val waiters = mutableMapOf<JobId, MutableList<CompletableDeferred<JobOutcome>>>()
+    private val settings = linkedMapOf<TeamName, StoredTeamSettings>()
+
+    /** Queues an input. */
+    fun send(input: HomeInput) {
+        inputs.trySend(input)
+    }
+
+    /** Handles inputs until cancelled. */
+    suspend fun run() {
+        for (input in inputs) {
+            handle(input)
+            home.drain(nowMillis()).forEach(::carryOut)
+        }
+    }
+
+    private fun handle(input: HomeInput) {
+        when (input) {
+            is HomeInput.Submit -> submit(input)
+            is HomeInput.Cancel -> input.reply.complete(home.cancel(input.job, nowMillis()))
+            is HomeInput.Query -> input.reply.complete(home.state(input.job))
+            is HomeInput.AgentOpened -> agentOpened(input)
+            is HomeInput.FromAgent -> if (isCurrent(input.link, input.agent)) fromAgent(input.agent, input.message)
+            is HomeInput.AgentClosed -> agentClosed(input)
+            is HomeInput.Settings -> applySettings(input.stored)
+            is HomeInput.Tick -> home.tick(nowMillis())
+            is HomeInput.Dump -> input.reply.complete(dump())
+        }
+    }
+
+    private fun submit(input: HomeInput.Submit) {
+        when (val submission = home.submit(input.job, input.remainingMillis, nowMillis())) {
+            is Submission.Ended -> input.reply.complete(submission.outcome)
+            is Submission.Waiting -> waiters.getOrPut(input.job.id) { mutableListOf() } += input.reply
+        }
+    }
+
+    private fun agentOpened(input: HomeInput.AgentOpened) {
+        val view = input.announcement?.let { AgentView(input.agent, input.failureDomain, it) }
+        agents[input.agent]?.let { replaced ->
+            replaced.link.close()
+            home.agentDisconnected(input.agent, nowMillis())
+        }
+        agents[input.agent] = ConnectedAgent(input, view)
+        home.agentConnected(input.agent, view, nowMillis())
+        logger.event(EntryEvent.AGENT_CONNECTED, "agent" to input.agent, "service" to input.announcement?.service)
+    }
+
+    private fun agentClosed(input: HomeInput.AgentClosed) {
+        if (!isCurrent(input.link, input.agent)) return
+        agents.remove(input.agent)
+        home.agentDisconnected(input.agent, nowMillis())
+        logger.event(EntryEvent.AGENT_DISCONNECTED, "agent" to input.agent)
+    }
+
+    private fun isCurrent(
+        link: io.egretlock.protocol.Link,
+        agent: ProcessId,
+    ): Boolean = agents[agent]?.link === link
+
+    private fun fromAgent(
+        agent: ProcessId,
+        message: Message,
+    ) {
+        when (message) {
+            is UpstreamUpdate -> upstreamUpdated(agent, message)
+            is CreditGrant -> home.creditsGranted(agent, message.count)
+            is CreditRecall -> home.creditsRecalled(agent, message.count)
+            is Finished -> finished(agent, message)
+            is StartRefused -> home.attemptNeverStarts(agent, message.attempt.toCore(), nowMillis())
+            is RevokeReply -> if (!message.started) home.attemptNeverStarts(agent, message.attempt.toCore(), nowMillis())
+            is ReconcileReply -> reconciled(agent, message)
+            else -> Unit
+        }
+    }
+
+    private fun upstreamUpdated(
+        agent: ProcessId,
+        message: UpstreamUpdate,
+    ) {
+        val connected = agents.getValue(agent)
+        connected.view = message.announcement?.let { AgentView(agent, connected.opened.failureDomain, it) }
+        home.agentConnected(agent, connected.view, nowMillis())
+    }
+
+    private fun finished(
+        agent: ProcessId,
+        message: Finished,
+    ) {
+        if (message.credit) home.creditsGranted(agent, 1)
+        home.taskFinished(agent, message.task, message.outcome, message.runMillis, nowMillis())
+    }
+
+    private fun reconciled(
+        agent: ProcessId,
+        message: ReconcileReply,
+    ) {
+        message.statuses
+            .filter { it.state.fate() == AttemptFate.NEVER_STARTS }
+            .forEach { home.attemptNeverStarts(agent, it.attempt.toCore(), nowMillis()) }
+    }
+
+    private fun applySettings(stored: StoredTeamSettings) {
+        val known = settings[stored.settings.team]
+        if (known != null && known.revision >= stored.revision) return
+        settings[stored.settings.team] = stored
+        home.applySettings(stored)
+        agents.values.forEach { it.link.send(SettingsUpdate(listOf(stored))) }
+        logger.event(EntryEvent.SETTINGS_APPLIED, "team" to stored.settings.team, "revision" to stored.revision)
+    }
+
+    private fun carryOut(effect: HomeEffect) {
+        when (effect) {
+            is HomeEffect.JobEnded -> waiters.remove(effect.job)?.forEach { it.complete(effect.outcome) }
+            is HomeEffect.StartTask -> send(effect.agent, start(effect))
+            is HomeEffect.AcknowledgeTask -> send(effect.agent, Acknowledge(listOf(effect.task)))
+            is HomeEffect.CancelTask -> send(effect.agent, Cancel(effect.task))
+            is HomeEffect.ReconcileTasks -> send(effect.agent, Reconcile(effect.attempts.map { it.toProtocol() }))
+            is HomeEffect.RequestCredits -> send(effect.agent, CreditRequest(effect.wanted))
+            is HomeEffect.ReturnCredits -> send(effect.agent, CreditReturn(effect.count))
+        }
+    }
+
+    private fun start(effect: HomeEffect.StartTask) =
+        Start(effect.attempt.toProtocol(), effect.team, effect.specification, effect.remainingMillis)
+
+    private fun send(
+        agent: ProcessId,
+        message: Message,
+    ) {
+        agents[agent]?.link?.send(message)
+    }
+
+    private fun dump() =
+        HomeDump(
+            liveJobs = home.liveJobIds(),
+            knownJobs = home.knownJobs,
+            agents =
+                agents.map { (agent, connected) ->
+                    AgentDump(agent, connected.view?.upstream?.service?.value, connected.view?.upstream?.slots ?: 0)
+                },
+            settings = settings.values.toList(),
+        )
+
+    private class ConnectedAgent(
+        val opened: HomeInput.AgentOpened,
+        var view: AgentView?,
+    ) {
+        val link = opened.link
+    }
+}
+
+private fun TaskAttempt.toCore() = PlacedAttempt(task, attempt)
+
+private fun PlacedAttempt.toProtocol() = TaskAttempt(task, number)
+
+private fun AttemptState.fate(): AttemptFate =
+    when (this) {
+        AttemptState.RUNNING -> AttemptFate.RUNNING
+        AttemptState.FINISHED -> AttemptFate.FINISHED
+        AttemptState.NEVER_SEEN, AttemptState.REVOKED -> AttemptFate.NEVER_STARTS
+    }
--- /dev/null
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/JobReader.kt
@@ -0,0 +1,106 @@
+package io.egretlock.entry
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import io.egretlock.core.job.CreationTime
+import io.egretlock.core.job.Job
+import io.egretlock.core.job.JobId
+import io.egretlock.core.job.OperationName
+import io.egretlock.core.job.Reason
+import io.egretlock.core.job.ServiceName
+import io.egretlock.core.job.TaskSpecification
+import io.egretlock.core.job.TeamName
+import io.egretlock.core.job.Verdict
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+
+/** Limits on what a caller may send. */
+data class JobBounds(
+    val largestBodyBytes: Int = 4 * 1_024 * 1_024,
+    val largestPayloadBytes: Int = 256 * 1_024,
+    val longestNameCharacters: Int = 128,
+    val mostTasks: Int = 1_000,
+    val longestDeadlineMillis: Long = 3_600_000,
+)
+
+/** Reads a submission and checks it against [bounds]; faults are verdicts, all of them "not run". */
+class JobReader(
+    private val bounds: JobBounds = JobBounds(),
+) {
+    /** The job with [id] from its [body], which is JSON text. */
+    fun read(
+        id: String,
+        body: String,
+    ): Result<Job, Verdict.NotRun> {
+        val parsed =
+            try {
+                json.decodeFromString<JobBody>(body)
+            } catch (fault: SerializationException) {
+                return malformed("The body is no job: ${fault.message?.lineSequence()?.first()}")
+            }
+        val fault = fault(id, parsed)
+        return if (fault != null) Err(fault) else toJob(JobId(id), parsed)
+    }
+
+    private fun fault(
+        id: String,
+        body: JobBody,
+    ): Verdict.NotRun? =
+        when {
+            id.isBlank() || id.length > bounds.longestNameCharacters -> notRun("The job id has ${id.length} characters.")
+            body.tasks.isEmpty() -> notRun("The job has no tasks.")
+            body.tasks.size > bounds.mostTasks -> tooLarge("The job has ${body.tasks.size} tasks", "${bounds.mostTasks}")
+            body.deadlineMillis !in 1..bounds.longestDeadlineMillis ->
+                notRun("deadlineMillis is ${body.deadlineMillis}; allowed: 1 to ${bounds.longestDeadlineMillis}.")
+            body.tasks.any { it.operation.isBlank() || it.operation.length > bounds.longestNameCharacters } ->
+                notRun("A task has an operation of 0 or more than ${bounds.longestNameCharacters} characters.")
+            else -> largePayload(body)
+        }
+
+    private fun largePayload(body: JobBody): Verdict.NotRun? =
+        body.tasks
+            .map { it.payload.toString().length }
+            .firstOrNull { it > bounds.largestPayloadBytes }
+            ?.let { tooLarge("A payload has $it bytes", "${bounds.largestPayloadBytes}") }
+
+    private fun toJob(
+        id: JobId,
+        body: JobBody,
+    ): Result<Job, Verdict.NotRun> {
+        val createdAtMillis =
+            CreationTime.of(id) ?: body.createdAt
+                ?: return malformed("The job id is no UUIDv7, and there is no createdAt.")
+        return Ok(
+            Job(
+                id = id,
+                team = TeamName(body.team),
+                service = ServiceName(body.service),
+                createdAtMillis = createdAtMillis,
+                deadlineMillis = body.deadlineMillis,
+                tasks = body.tasks.map(::toTask),
+            ),
+        )
+    }
+
+    private fun toTask(task: TaskBody) =
+        TaskSpecification(
+            operation = OperationName(task.operation),
+            idempotent = task.idempotent,
+            payload = task.payload.toString(),
+            declared = task.declared,
+        )
+
+    private fun malformed(detail: String) = Err(notRun(detail))
+
+    private fun notRun(detail: String) = Verdict.NotRun(Reason.MALFORMED, detail)
+
+    private fun tooLarge(
+        what: String,
+        most: String,
+    ) = Verdict.NotRun(Reason.TOO_LARGE, "$what; allowed: at most $most.")
+
+    private companion object {
+        val json = Json { ignoreUnknownKeys = false }
+    }
+}
--- /dev/null
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/JobRouter.kt
@@ -0,0 +1,112 @@
+package io.egretlock.entry
+
+import io.egretlock.core.home.JobProgress
+import io.egretlock.core.job.Job
+import io.egretlock.core.job.JobId
+import io.egretlock.core.job.JobOutcome
+import io.egretlock.core.job.Reason
+import io.egretlock.core.job.Verdict
+import io.egretlock.core.roster.EntryMember
+import io.egretlock.protocol.ForwardCancel
+import io.egretlock.protocol.ForwardJob
+import io.egretlock.protocol.ForwardQuery
+import io.egretlock.protocol.ForwardReply
+import io.egretlock.protocol.ForwardStateReply
+import io.egretlock.protocol.JobState
+import kotlinx.coroutines.CompletableDeferred
+
+/** Brings each request about a job to the job's home, here or at another entry. */
+internal class JobRouter(
+    private val locator: JobLocator,
+    private val home: HomeTask,
+    private val peers: PeerConnections,
+) {
+    /** Submits or joins [job] and waits for its outcome. */
+    suspend fun submit(
+        job: Job,
+        remainingMillis: Long,
+    ): JobOutcome =
+        when (val location = locator.locate(job.id, job.createdAtMillis)) {
+            is JobLocation.Here -> submitHere(job, remainingMillis)
+            is JobLocation.Nowhere -> JobOutcome.WithoutAnswer(location.verdict)
+            is JobLocation.Elsewhere -> submitElsewhere(location.member, job, remainingMillis)
+        }
+
+    /** Submits or joins [job] at this entry, which is its home. */
+    suspend fun submitHere(
+        job: Job,
+        remainingMillis: Long,
+    ): JobOutcome {
+        val reply = CompletableDeferred<JobOutcome>()
+        home.send(HomeInput.Submit(job, remainingMillis, reply))
+        return reply.await()
+    }
+
+    /** Cancels a job; null if its home does not know it. */
+    suspend fun cancel(
+        job: JobId,
+        createdAtMillis: Long,
+    ): JobOutcome? =
+        when (val location = locator.locate(job, createdAtMillis)) {
+            is JobLocation.Here -> cancelHere(job)
+            is JobLocation.Nowhere -> JobOutcome.WithoutAnswer(location.verdict)
+            is JobLocation.Elsewhere -> {
+                val reply =
+                    peers.call(location.member, CALL_MILLIS) { request -> ForwardCancel(request, job, createdAtMillis) }
+                (reply as? ForwardReply)?.outcome ?: homeLost(location.member)
+            }
+        }
+
+    /** Cancels a job at this entry. */
+    suspend fun cancelHere(job: JobId): JobOutcome? {
+        val reply = CompletableDeferred<JobOutcome?>()
+        home.send(HomeInput.Cancel(job, reply))
+        return reply.await()
+    }
+
+    /** How far a job is. */
+    suspend fun state(
+        job: JobId,
+        createdAtMillis: Long,
+    ): JobState =
+        when (val location = locator.locate(job, createdAtMillis)) {
+            is JobLocation.Here -> stateHere(job)
+            is JobLocation.Nowhere -> JobState.UNKNOWN
+            is JobLocation.Elsewhere -> {
+                val reply = peers.call(location.member, CALL_MILLIS) { request -> ForwardQuery(request, job) }
+                (reply as? ForwardStateReply)?.state ?: JobState.UNKNOWN
+            }
+        }
+
+    /** How far a job is at this entry. */
+    suspend fun stateHere(job: JobId): JobState {
+        val reply = CompletableDeferred<JobProgress?>()
+        home.send(HomeInput.Query(job, reply))
+        return when (reply.await()) {
+            null -> JobState.UNKNOWN
+            JobProgress.QUEUED -> JobState.QUEUED
+            JobProgress.RUNNING -> JobState.RUNNING
+            JobProgress.COMPLETE -> JobState.COMPLETE
+            JobProgress.WITHOUT_ANSWER -> JobState.WITHOUT_ANSWER
+        }
+    }
+
+    private suspend fun submitElsewhere(
+        member: EntryMember,
+        job: Job,
+        remainingMillis: Long,
+    ): JobOutcome {
+        val reply =
+            peers.call(member, remainingMillis + CALL_MILLIS) { request -> ForwardJob(request, job, remainingMillis) }
+        return (reply as? ForwardReply)?.outcome ?: homeLost(member)
+    }
+
+    private fun homeLost(member: EntryMember) =
+        JobOutcome.WithoutAnswer(
+            Verdict.MayHaveRun(Reason.HOME_LOST, "Entry '${member.entry}', the home of the job, does not answer."),
+        )
+
+    private companion object {
+        const val CALL_MILLIS = 2_000L
+    }
+}
--- /dev/null
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/JobRoutes.kt
@@ -0,0 +1,118 @@
+package io.egretlock.entry
+
+import com.github.michaelbull.result.fold
+import io.egretlock.core.job.CreationTime
+import io.egretlock.core.job.JobId
+import io.egretlock.core.job.JobOutcome
+import io.egretlock.core.job.Reason
+import io.egretlock.core.job.Verdict
+import io.egretlock.protocol.JobState
+import io.javalin.config.JavalinConfig
+import io.javalin.http.Context
+import io.javalin.http.ContentTooLargeResponse
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.future.future
+import kotlinx.serialization.encodeToString
+import kotlinx.serialization.json.Json
+import java.util.concurrent.CompletableFuture
+
+/** The callers' routes: submit, ask for and cancel jobs. */
+internal class JobRoutes(
+    private val router: JobRouter,
+    private val drain: Drain,
+    private val scope: CoroutineScope,
+    private val reader: JobReader = JobReader(),
+) {
+    /** Adds the routes to a server. */
+    fun addTo(config: JavalinConfig) {
+        config.routes.put(PATH) { context -> counted(context) { submit(context) } }
+        config.routes.get(PATH) { context -> counted(context) { state(context) } }
+        config.routes.delete(PATH) { context -> counted(context) { cancel(context) } }
+        config.routes.exception(ContentTooLargeResponse::class.java) { _, context -> tooLarge(context) }
+    }
+
+    private suspend fun submit(context: Context) {
+        val id = context.pathParam("id")
+        reader.read(id, context.body()).fold(
+            success = { job -> answer(context, id, router.submit(job, job.deadlineMillis)) },
+            failure = { verdict -> problem(context, id, verdict) },
+        )
+    }
+
+    private suspend fun state(context: Context) {
+        val id = context.pathParam("id")
+        val createdAtMillis = createdAt(context, id) ?: return missingCreationTime(context, id)
+        val state = router.state(JobId(id), createdAtMillis)
+        if (state == JobState.UNKNOWN) context.status(HttpStatus.NOT_FOUND)
+        context.contentType(JSON_TYPE).result(json.encodeToString(StateBody(id, state.name.lowercase().replace('_', '-'))))
+    }
+
+    private suspend fun cancel(context: Context) {
+        val id = context.pathParam("id")
+        val createdAtMillis = createdAt(context, id) ?: return missingCreationTime(context, id)
+        when (val outcome = router.cancel(JobId(id), createdAtMillis)) {
+            null -> context.status(HttpStatus.NOT_FOUND).contentType(JSON_TYPE)
+                .result(json.encodeToString(StateBody(id, "unknown")))
+            else -> answer(context, id, outcome)
+        }
+    }
+
+    private fun createdAt(
+        context: Context,
+        id: String,
+    ): Long? = CreationTime.of(JobId(id)) ?: context.queryParam("createdAt")?.toLongOrNull()
+
+    private fun missingCreationTime(
+        context: Context,
+        id: String,
+    ) = problem(context, id, Verdict.NotRun(Reason.MALFORMED, "The job id is no UUIDv7, and there is no createdAt."))
+
+    private fun answer(
+        context: Context,
+        id: String,
+        outcome: JobOutcome,
+    ) {
+        when (outcome) {
+            is JobOutcome.WithoutAnswer -> problem(context, id, outcome.verdict)
+            is JobOutcome.Complete -> {
+                val answers = outcome.answers.map { json.parseToJsonElement(it) }
+                context.contentType(JSON_TYPE).result(json.encodeToString(CompleteBody(id, "complete", answers)))
+            }
+        }
+    }
+
+    private fun problem(
+        context: Context,
+        id: String?,
+        verdict: Verdict,
+    ) {
+        val problem = Problem.of(verdict, id)
+        problem.retryAfterMillis?.let { context.header("Retry-After", "${(it + MILLIS_PER_SECOND - 1) / MILLIS_PER_SECOND}") }
+        context.status(problem.status).contentType(Problem.MEDIA_TYPE).result(json.encodeToString(problem))
+    }
+
+    private fun tooLarge(context: Context) =
+        problem(context, null, Verdict.NotRun(Reason.TOO_LARGE, "The body is larger than this entry accepts."))
+
+    /** Runs a request outside the server's threads and counts it, so that a drain waits for its answer. */
+    private fun counted(
+        context: Context,
+        body: suspend () -> Unit,
+    ) {
+        if (!drain.enter()) {
+            return problem(context, null, Verdict.NotRun(Reason.DRAINING, "This entry is draining.", DRAINING_RETRY_MILLIS))
+        }
+        context.future {
+            val answered: CompletableFuture<Unit> = scope.future { body() }
+            answered.whenComplete { _, _ -> drain.leave() }
+        }
+    }
+
+    private companion object {
+        const val PATH = "/v1/jobs/{id}"
+        const val JSON_TYPE = "application/json"
+        const val MILLIS_PER_SECOND = 1_000L
+        const val DRAINING_RETRY_MILLIS = 1_000L
+        val json = Json { encodeDefaults = true }
+    }
+}
--- /dev/null
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/LinkServer.kt
@@ -0,0 +1,81 @@
+package io.egretlock.entry
+
+import io.egretlock.core.job.JobOutcome
+import io.egretlock.core.job.ProcessId
+import io.egretlock.core.job.Reason
+import io.egretlock.core.job.Verdict
+import io.egretlock.core.roster.Roster
+import io.egretlock.core.settings.StoredTeamSettings
+import io.egretlock.protocol.AgentHello
+import io.egretlock.protocol.EntryHello
+import io.egretlock.protocol.ForwardCancel
+import io.egretlock.protocol.ForwardJob
+import io.egretlock.protocol.ForwardQuery
+import io.egretlock.protocol.ForwardReply
+import io.egretlock.protocol.ForwardStateReply
+import io.egretlock.protocol.Link
+import io.egretlock.protocol.Message
+import io.egretlock.protocol.Welcome
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.launch
+
+/** Serves the connections that agents and other entries have dialled. */
+internal class LinkServer(
+    private val entry: ProcessId,
+    private val home: HomeTask,
+    private val router: JobRouter,
+    private val knowledge: SharedKnowledge,
+    private val scope: CoroutineScope,
+) {
+    /** Serves one connection until it ends. */
+    suspend fun serve(link: Link) {
+        when (val hello = link.incoming.receiveCatching().getOrNull()) {
+            is AgentHello -> serveAgent(link, hello)
+            is EntryHello -> servePeer(link)
+            else -> Unit
+        }
+        link.close()
+    }
+
+    private suspend fun serveAgent(
+        link: Link,
+        hello: AgentHello,
+    ) {
+        link.send(welcome())
+        home.send(HomeInput.AgentOpened(link, hello.agent, hello.failureDomain, hello.announcement))
+        for (message in link.incoming) home.send(HomeInput.FromAgent(link, hello.agent, message))
+        home.send(HomeInput.AgentClosed(link, hello.agent))
+    }
+
+    private suspend fun servePeer(link: Link) {
+        link.send(welcome())
+        for (message in link.incoming) scope.launch { answer(link, message) }
+    }
+
+    private fun welcome() = Welcome(entry, knowledge.rosters(), knowledge.settings())
+
+    private suspend fun answer(
+        link: Link,
+        message: Message,
+    ) {
+        when (message) {
+            is ForwardJob ->
+                link.send(ForwardReply(message.request, router.submitHere(message.job, message.remainingMillis)))
+            is ForwardCancel -> link.send(ForwardReply(message.request, router.cancelHere(message.job) ?: unknownJob()))
+            is ForwardQuery -> link.send(ForwardStateReply(message.request, router.stateHere(message.job)))
+            else -> Unit
+        }
+    }
+
+    private fun unknownJob() =
+        JobOutcome.WithoutAnswer(Verdict.MayHaveRun(Reason.RETENTION, "The job is not known at its home."))
+}
+
+/** What an entry tells everyone who connects to it. */
+internal interface SharedKnowledge {
+    /** Rosters that can still decide a job's home, oldest first. */
+    fun rosters(): List<Roster>
+
+    /** Settings in force. */
+    fun settings(): List<StoredTeamSettings>
+}
--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/Main.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/Main.kt
@@ -1,4 +1,62 @@
 package io.egretlock.entry
 
-/** Placeholder until the command line stands. */
-fun main() = println("egretlock-entry")
+import io.egretlock.platform.etcd.EtcdStore
+import io.egretlock.platform.etcd.EtcdStoreSettings
+import io.egretlock.process.CommandLine
+import io.egretlock.process.EXIT_USAGE
+import io.egretlock.process.LogSetup
+import kotlinx.coroutines.runBlocking
+
+private const val VERSION = "0.1.0"
+private const val USAGE =
+    """Usage: egretlock-entry COMMAND [FLAGS]
+
+Takes callers' jobs and dispatches their tasks to agents.
+
+  run      Runs the entry until SIGTERM, then stops gracefully.
+  check    Checks the settings and prints every fault.
+  dump     Prints the state of a running entry as JSON.
+
+  COMMAND --help    Lists the command's flags with their environment variables.
+  --version         Prints the version."""
+
+private val commandLine = CommandLine("egretlock-entry")
+
+/** Entry point of `egretlock-entry`. */
+fun main(arguments: Array<String>) {
+    val flags = arguments.drop(1)
+    when (arguments.firstOrNull()) {
+        "run" -> run(commandLine.readSettings("run", flags, EntrySettings.ALL, EntrySettings::read))
+        "check" -> check(flags)
+        "dump" -> dump(flags)
+        "--version" -> println("egretlock-entry $VERSION")
+        "--help", "-h" -> println(USAGE)
+        else -> commandLine.fail(EXIT_USAGE, listOf(USAGE))
+    }
+}
+
+private fun run(settings: EntrySettings) {
+    LogSetup.apply(settings.logFormat)
+    val process = EntryProcess(settings, EtcdStore(EtcdStoreSettings(settings.storeAddresses)))
+    runBlocking { process.start() }
+    Runtime.getRuntime().addShutdownHook(
+        Thread {
+            runBlocking { process.stop() }
+            Runtime.getRuntime().halt(0)
+        },
+    )
+    Thread.currentThread().join()
+}
+
+private fun check(flags: List<String>) {
+    commandLine.readSettings("check", flags, EntrySettings.ALL, EntrySettings::read)
+    println("The settings are valid.")
+}
+
+private fun dump(flags: List<String>) {
+    val (address, token) =
+        commandLine.readSettings("dump", flags, EntrySettings.INSPECTION) { reader ->
+            EntrySettings.operatorsAddress(reader) to EntrySettings.operatorToken(reader)
+        }
+    commandLine.printAnswer("http://$address/dump", token)
+}
--- /dev/null
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/PeerConnections.kt
@@ -0,0 +1,49 @@
+package io.egretlock.entry
+
+import io.egretlock.core.job.ProcessId
+import io.egretlock.core.roster.EntryMember
+import io.egretlock.protocol.EntryHello
+import io.egretlock.protocol.LinkTiming
+import io.egretlock.protocol.Message
+import io.ktor.network.selector.SelectorManager
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.withTimeoutOrNull
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.atomic.AtomicLong
+
+/** The connections that this entry dials to other entries, made when first needed. */
+internal class PeerConnections(
+    private val hello: EntryHello,
+    private val selector: SelectorManager,
+    private val timing: LinkTiming,
+    private val scope: CoroutineScope,
+) {
+    private val connections = ConcurrentHashMap<ProcessId, PeerConnection>()
+    private val requests = AtomicLong()
+
+    /**
+     * Sends a request to [member], again after each reconnection, and waits for its reply. Null if there is none within
+     * [timeoutMillis], or if the member stays unreachable.
+     */
+    suspend fun call(
+        member: EntryMember,
+        timeoutMillis: Long,
+        message: (Long) -> Message,
+    ): Message? {
+        val request = requests.incrementAndGet()
+        val connection = connection(member)
+        return withTimeoutOrNull(timeoutMillis) { connection.call(request, message(request)) }
+            .also { connection.abandon(request) }
+    }
+
+    /** Sends a message without a reply to [member], if it is connected. */
+    fun tell(
+        member: EntryMember,
+        message: Message,
+    ) = connection(member).tell(message)
+
+    private fun connection(member: EntryMember): PeerConnection =
+        connections.computeIfAbsent(member.entry) {
+            PeerConnection(member, hello, selector, timing, scope).also { it.start() }
+        }
+}
