Add the upstream stand-in

Cause: tests and the demo need an upstream that counts every start by task id, so that verdicts can be compared with what ran. Ruled out: a mock inside the agent's tests, which can't be killed or paused as a process.

--- a/egretlock-testing/src/main/kotlin/io/egretlock/testing/Main.kt
+++ b/egretlock-testing/src/main/kotlin/io/egretlock/testing/Main.kt
@@ -1,4 +1,22 @@
 package io.egretlock.testing
 
-/** Placeholder until the command line stands. */
-fun main() = println("egretlock-testing")
+import io.egretlock.process.LogFormat
+import io.egretlock.process.LogSetup
+import io.egretlock.testing.upstream.UpstreamCommand
+import kotlin.system.exitProcess
+
+private const val EXIT_USAGE = 2
+
+/** Runs one stand-in as a process of its own. */
+fun main(arguments: Array<String>) {
+    LogSetup.apply(LogFormat.TEXT)
+    when (arguments.firstOrNull()) {
+        "upstream" -> UpstreamCommand.run(arguments.drop(1))
+        else -> refuse()
+    }
+}
+
+private fun refuse() {
+    System.err.println("usage: egretlock-testing upstream [flags]")
+    exitProcess(EXIT_USAGE)
+}
--- /dev/null
+++ b/egretlock-testing/src/main/kotlin/io/egretlock/testing/upstream/TaskRequest.kt
@@ -0,0 +1,34 @@
+package io.egretlock.testing.upstream
+
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.json.JsonElement
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.JsonPrimitive
+import kotlinx.serialization.json.doubleOrNull
+
+private const val DEFAULT_RUN_MILLIS = 5.0
+
+/** Body of the call with which an agent starts a task. */
+@Serializable
+data class TaskRequest(
+    val operation: String,
+    val payload: JsonElement,
+    val remainingMillis: Long,
+) {
+    /** Run time in milliseconds at speed 1, as the payload's field `runMillis` asks for it. */
+    val runMillis: Double
+        get() = ((payload as? JsonObject)?.get("runMillis") as? JsonPrimitive)?.doubleOrNull ?: DEFAULT_RUN_MILLIS
+}
+
+/** Answer of a stand-in to a task that ran; it names the task so that crossed answers show. */
+@Serializable
+data class TaskAnswer(
+    val task: String,
+    val echo: JsonElement,
+)
+
+/** Answer of a stand-in to a task that it failed. */
+@Serializable
+data class TaskFailure(
+    val error: String,
+)
