--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/EntryProcess.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/EntryProcess.kt
@@ -128,4 +128,3 @@
         fun monotonicMillis(): Long = System.nanoTime() / NANOS_PER_MILLI
     }
 }
-
--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/EntrySettings.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/EntrySettings.kt
@@ -96,7 +96,11 @@
         fun operatorToken(reader: SettingReader): String? {
             val local = reader.address(OPERATORS).host.startsWith("127.")
             if (local) return reader.optional(TOKEN)
-            return reader.read(TOKEN, "a token of at least 16 characters, as operators' address is not local", "") { text ->
+            return reader.read(
+                TOKEN,
+                "a token of at least 16 characters, as operators' address is not local",
+                "",
+            ) { text ->
                 text.takeIf { it.length >= SHORTEST_TOKEN }
             }
         }
--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/HomeTask.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/HomeTask.kt
@@ -117,7 +117,14 @@
             is CreditRecall -> home.creditsRecalled(agent, message.count)
             is Finished -> finished(agent, message)
             is StartRefused -> home.attemptNeverStarts(agent, message.attempt.toCore(), nowMillis())
-            is RevokeReply -> if (!message.started) home.attemptNeverStarts(agent, message.attempt.toCore(), nowMillis())
+            is RevokeReply ->
+                if (!message.started) {
+                    home.attemptNeverStarts(
+                        agent,
+                        message.attempt.toCore(),
+                        nowMillis(),
+                    )
+                }
             is ReconcileReply -> reconciled(agent, message)
             else -> Unit
         }
@@ -186,7 +193,14 @@
             knownJobs = home.knownJobs,
             agents =
                 agents.map { (agent, connected) ->
-                    AgentDump(agent, connected.view?.upstream?.service?.value, connected.view?.upstream?.slots ?: 0)
+                    AgentDump(
+                        agent,
+                        connected.view
+                            ?.upstream
+                            ?.service
+                            ?.value,
+                        connected.view?.upstream?.slots ?: 0,
+                    )
                 },
             settings = settings.values.toList(),
         )
--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/JobReader.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/JobReader.kt
@@ -15,10 +15,13 @@
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
 
+private const val LARGEST_BODY_BYTES = 4 * 1_024 * 1_024
+private const val LARGEST_PAYLOAD_BYTES = 256 * 1_024
+
 /** Limits on what a caller may send. */
 data class JobBounds(
-    val largestBodyBytes: Int = 4 * 1_024 * 1_024,
-    val largestPayloadBytes: Int = 256 * 1_024,
+    val largestBodyBytes: Int = LARGEST_BODY_BYTES,
+    val largestPayloadBytes: Int = LARGEST_PAYLOAD_BYTES,
     val longestNameCharacters: Int = 128,
     val mostTasks: Int = 1_000,
     val longestDeadlineMillis: Long = 3_600_000,
@@ -48,9 +51,16 @@
         body: JobBody,
     ): Verdict.NotRun? =
         when {
-            id.isBlank() || id.length > bounds.longestNameCharacters -> notRun("The job id has ${id.length} characters.")
+            id.isBlank() || id.length > bounds.longestNameCharacters ->
+                notRun(
+                    "The job id has ${id.length} characters.",
+                )
             body.tasks.isEmpty() -> notRun("The job has no tasks.")
-            body.tasks.size > bounds.mostTasks -> tooLarge("The job has ${body.tasks.size} tasks", "${bounds.mostTasks}")
+            body.tasks.size > bounds.mostTasks ->
+                tooLarge(
+                    "The job has ${body.tasks.size} tasks",
+                    "${bounds.mostTasks}",
+                )
             body.deadlineMillis !in 1..bounds.longestDeadlineMillis ->
                 notRun("deadlineMillis is ${body.deadlineMillis}; allowed: 1 to ${bounds.longestDeadlineMillis}.")
             body.tasks.any { it.operation.isBlank() || it.operation.length > bounds.longestNameCharacters } ->
--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/JobRoutes.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/JobRoutes.kt
@@ -8,8 +8,8 @@
 import io.egretlock.core.job.Verdict
 import io.egretlock.protocol.JobState
 import io.javalin.config.JavalinConfig
-import io.javalin.http.Context
 import io.javalin.http.ContentTooLargeResponse
+import io.javalin.http.Context
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.future.future
 import kotlinx.serialization.encodeToString
@@ -44,15 +44,21 @@
         val createdAtMillis = createdAt(context, id) ?: return missingCreationTime(context, id)
         val state = router.state(JobId(id), createdAtMillis)
         if (state == JobState.UNKNOWN) context.status(HttpStatus.NOT_FOUND)
-        context.contentType(JSON_TYPE).result(json.encodeToString(StateBody(id, state.name.lowercase().replace('_', '-'))))
+        context
+            .contentType(
+                JSON_TYPE,
+            ).result(json.encodeToString(StateBody(id, state.name.lowercase().replace('_', '-'))))
     }
 
     private suspend fun cancel(context: Context) {
         val id = context.pathParam("id")
         val createdAtMillis = createdAt(context, id) ?: return missingCreationTime(context, id)
         when (val outcome = router.cancel(JobId(id), createdAtMillis)) {
-            null -> context.status(HttpStatus.NOT_FOUND).contentType(JSON_TYPE)
-                .result(json.encodeToString(StateBody(id, "unknown")))
+            null ->
+                context
+                    .status(HttpStatus.NOT_FOUND)
+                    .contentType(JSON_TYPE)
+                    .result(json.encodeToString(StateBody(id, "unknown")))
             else -> answer(context, id, outcome)
         }
     }
@@ -87,7 +93,12 @@
         verdict: Verdict,
     ) {
         val problem = Problem.of(verdict, id)
-        problem.retryAfterMillis?.let { context.header("Retry-After", "${(it + MILLIS_PER_SECOND - 1) / MILLIS_PER_SECOND}") }
+        problem.retryAfterMillis?.let {
+            context.header(
+                "Retry-After",
+                "${(it + MILLIS_PER_SECOND - 1) / MILLIS_PER_SECOND}",
+            )
+        }
         context.status(problem.status).contentType(Problem.MEDIA_TYPE).result(json.encodeToString(problem))
     }
 
@@ -100,7 +111,11 @@
         body: suspend () -> Unit,
     ) {
         if (!drain.enter()) {
-            return problem(context, null, Verdict.NotRun(Reason.DRAINING, "This entry is draining.", DRAINING_RETRY_MILLIS))
+            return problem(
+                context,
+                null,
+                Verdict.NotRun(Reason.DRAINING, "This entry is draining.", DRAINING_RETRY_MILLIS),
+            )
         }
         context.future {
             val answered: CompletableFuture<Unit> = scope.future { body() }
--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/StoreReader.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/StoreReader.kt
@@ -54,7 +54,10 @@
         val members = roster?.members.orEmpty()
         val home = members.maxByOrNull { weight(it.entry, id) }
         return when {
-            home == null -> JobLocation.Nowhere(Verdict.NotRun(Reason.NO_AUTHORITY, "No roster is known yet.", RETRY_MILLIS))
+            home == null ->
+                JobLocation.Nowhere(
+                    Verdict.NotRun(Reason.NO_AUTHORITY, "No roster is known yet.", RETRY_MILLIS),
+                )
             home.entry == self.entry -> JobLocation.Here
             else -> JobLocation.Elsewhere(home)
         }
