--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/EntryProcess.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/EntryProcess.kt
@@ -42,12 +42,14 @@
     private val self = EntryMember(ProcessId(settings.name, System.currentTimeMillis()), settings.linkAddress)
     private val registry = PrometheusRegistry()
     private val drain = Drain()
-    private val home = HomeTask(Home(ServiceDispatchers { FirstInFirstOutDispatcher() }), ::monotonicMillis)
+    private val metrics = EntryMetrics(registry)
+    private val jobs = Home(ServiceDispatchers { FirstInFirstOutDispatcher() })
+    private val home = HomeTask(jobs, metrics, ::monotonicMillis)
     private val peers = PeerConnections(EntryHello(self.entry, self.address), selector, settings.timing, scope)
     private val storeReader = StoreReader(store, self) { home.send(HomeInput.Settings(it)) }
     private val router = JobRouter(storeReader, home, peers)
     private val linkServer = LinkServer(self.entry, home, router, knowledge(), scope)
-    private val callers = server { config -> JobRoutes(router, drain, scope).addTo(config) }
+    private val callers = server { config -> JobRoutes(router, drain, metrics, scope).addTo(config) }
     private val operators = server { config -> OperatorsRoutes(this, registry, settings.operatorToken).addTo(config) }
     private var listener: LinkListener? = null
 
@@ -56,6 +58,7 @@
 
     /** Binds all addresses and starts all parts. Throws if an address is taken. */
     suspend fun start() {
+        metrics.observeLiveJobs { jobs.liveJobs }
         scope.launch { home.run() }
         scope.launch { storeReader.run() }
         scope.launch { tick() }
--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/HomeTask.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/HomeTask.kt
@@ -20,6 +20,7 @@
 import io.egretlock.protocol.CreditRequest
 import io.egretlock.protocol.CreditReturn
 import io.egretlock.protocol.Finished
+import io.egretlock.protocol.Link
 import io.egretlock.protocol.Message
 import io.egretlock.protocol.Reconcile
 import io.egretlock.protocol.ReconcileReply
@@ -43,6 +44,7 @@
  */
 internal class HomeTask(
     private val home: Home,
+    private val metrics: EntryMetrics,
     private val nowMillis: () -> Long,
 ) {
     private val inputs = Channel<HomeInput>(Channel.UNLIMITED)
@@ -103,7 +105,7 @@
     }
 
     private fun isCurrent(
-        link: io.egretlock.protocol.Link,
+        link: Link,
         agent: ProcessId,
     ): Boolean = agents[agent]?.link === link
 
@@ -111,6 +113,7 @@
         agent: ProcessId,
         message: Message,
     ) {
+        metrics.received(message.kind())
         when (message) {
             is UpstreamUpdate -> upstreamUpdated(agent, message)
             is CreditGrant -> home.creditsGranted(agent, message.count)
@@ -185,6 +188,7 @@
         message: Message,
     ) {
         agents[agent]?.link?.send(message)
+        metrics.sent(message.kind())
     }
 
     private fun dump() =
@@ -213,6 +217,8 @@
     }
 }
 
+private fun Message.kind(): String = this::class.simpleName.orEmpty()
+
 private fun TaskAttempt.toCore() = PlacedAttempt(task, attempt)
 
 private fun PlacedAttempt.toProtocol() = TaskAttempt(task, number)
--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/JobRoutes.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/JobRoutes.kt
@@ -20,6 +20,7 @@
 internal class JobRoutes(
     private val router: JobRouter,
     private val drain: Drain,
+    private val metrics: EntryMetrics,
     private val scope: CoroutineScope,
     private val reader: JobReader = JobReader(),
 ) {
@@ -34,7 +35,11 @@
     private suspend fun submit(context: Context) {
         val id = context.pathParam("id")
         reader.read(id, context.body()).fold(
-            success = { job -> answer(context, id, router.submit(job, job.deadlineMillis)) },
+            success = { job ->
+                val outcome = router.submit(job, job.deadlineMillis)
+                metrics.answered(job.team.value, outcome)
+                answer(context, id, outcome)
+            },
             failure = { verdict -> problem(context, id, verdict) },
         )
     }
--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/Problem.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/Problem.kt
@@ -30,19 +30,12 @@
                 title = verdict.reason.code.replace('-', ' '),
                 status = status(verdict),
                 detail = verdict.detail,
-                verdict = name(verdict),
+                verdict = verdict.code(),
                 reason = verdict.reason.code,
                 job = job,
                 retryAfterMillis = (verdict as? Verdict.NotRun)?.retryAfterMillis,
             )
 
-        private fun name(verdict: Verdict): String =
-            when (verdict) {
-                is Verdict.NotRun -> "not-run"
-                is Verdict.MayHaveRun -> "may-have-run"
-                is Verdict.Failed -> "failed"
-            }
-
         private fun status(verdict: Verdict): Int =
             when (verdict) {
                 is Verdict.NotRun -> notRunStatus(verdict.reason)
--- /dev/null
+++ b/egretlock-entry/src/test/kotlin/io/egretlock/entry/ProblemTest.kt
@@ -0,0 +1,39 @@
+package io.egretlock.entry
+
+import io.egretlock.core.job.Reason
+import io.egretlock.core.job.Verdict
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Test
+
+class ProblemTest {
+    @Test
+    fun `given a refusal with a time to return, when told, then status, verdict and time are in the problem`() {
+        assertEquals(
+            Problem(
+                type = "urn:egretlock:overloaded",
+                title = "overloaded",
+                status = 503,
+                detail = "Too much is queued.",
+                verdict = "not-run",
+                reason = "overloaded",
+                job = "a",
+                retryAfterMillis = 250,
+            ),
+            Problem.of(Verdict.NotRun(Reason.OVERLOADED, "Too much is queued.", retryAfterMillis = 250), "a"),
+        )
+    }
+
+    @Test
+    fun `given verdicts on started jobs, when told, then the status is one of a gateway`() {
+        val statuses =
+            listOf(
+                Verdict.MayHaveRun(Reason.AGENT_LOST, "") to 502,
+                Verdict.Failed(Reason.UPSTREAM_FAILED, "") to 502,
+                Verdict.MayHaveRun(Reason.DEADLINE, "") to 504,
+                Verdict.NotRun(Reason.DEADLINE, "") to 504,
+                Verdict.NotRun(Reason.CONFLICTING_BODY, "") to 409,
+                Verdict.NotRun(Reason.QUOTA, "") to 429,
+            )
+        statuses.forEach { (verdict, status) -> assertEquals(status, Problem.of(verdict, null).status) }
+    }
+}
