Start tasks from a separate agent process

Cause: there was no agent; a job could not reach an upstream. Ruled out: an agent that shares its state between threads; one coroutine owns gate, credits and connections instead. Change: egretlock-agent run, check and dump; the start gate and the slot ledger in egretlock-core; calls to the upstream by OkHttp with every way of sending a request twice turned off. TaskAttempt, AttemptState and AttemptStatus moved from egretlock-protocol to egretlock-core, with type aliases in their place (same bytes on the wire); Link.silentMillis is public. DELETE /v1/upstream is answered once no task runs on the upstream (204), or 202 after the drain time.

--- /dev/null
+++ b/egretlock-agent/src/main/kotlin/io/egretlock/agent/Agent.kt
@@ -0,0 +1,219 @@
+package io.egretlock.agent
+
+import io.egretlock.core.gate.SlotLedger
+import io.egretlock.core.gate.StartGate
+import io.egretlock.core.job.ProcessId
+import io.egretlock.core.placement.UpstreamAnnouncement
+import io.egretlock.core.roster.NodeAddress
+import io.egretlock.core.roster.Roster
+import io.egretlock.core.settings.StoredTeamSettings
+import io.egretlock.process.event
+import io.egretlock.protocol.Acknowledge
+import io.egretlock.protocol.AgentHello
+import io.egretlock.protocol.Cancel
+import io.egretlock.protocol.CreditRequest
+import io.egretlock.protocol.CreditReturn
+import io.egretlock.protocol.Reconcile
+import io.egretlock.protocol.Revoke
+import io.egretlock.protocol.RosterUpdate
+import io.egretlock.protocol.SettingsApplied
+import io.egretlock.protocol.SettingsUpdate
+import io.egretlock.protocol.Start
+import io.egretlock.protocol.UpstreamUpdate
+import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.channels.SendChannel
+
+private val logger = KotlinLogging.logger {}
+
+/**
+ * The state of an agent and the one coroutine that owns it. Everything else talks to it through [commands].
+ *
+ * @property settings settings of the process.
+ * @property dial starts a dialler for an address unless one runs.
+ * @property nowMillis monotonic time.
+ */
+internal class Agent(
+    private val id: ProcessId,
+    private val settings: AgentSettings,
+    private val client: UpstreamClient,
+    private val metrics: AgentMetrics,
+    private val dial: (NodeAddress) -> Unit,
+    private val nowMillis: () -> Long,
+) {
+    private val queue = Channel<AgentCommand>(Channel.UNLIMITED)
+    private val gate = StartGate()
+    private val ledger = SlotLedger()
+    private val connections = EntryConnections()
+    private val settingsReplica = SettingsReplica()
+    private val runner = TaskRunner(gate, ledger, client, connections, metrics, { queue.trySend(it) }, nowMillis)
+    private val idleWaiters = mutableListOf<CompletableDeferred<Unit>>()
+    private var drained: CompletableDeferred<Unit>? = null
+    private var announcement: UpstreamAnnouncement? = null
+    private var rosters: List<Roster> = emptyList()
+
+    /** Where commands are sent. */
+    val commands: SendChannel<AgentCommand>
+        get() = queue
+
+    /** Whether new tasks are accepted. */
+    @Volatile
+    var ready: Boolean = true
+        private set
+
+    /** Handles commands until cancelled. */
+    suspend fun run() {
+        settings.entries.forEach(dial)
+        for (command in queue) {
+            handle(command)
+            completeWaiters()
+        }
+    }
+
+    private fun handle(command: AgentCommand) {
+        when (command) {
+            is HelloRequested -> command.reply.complete(hello(command.address))
+            is EntryConnected -> command.accepted.complete(connected(command))
+            is EntryMessage -> if (connections.isCurrent(command.connection)) receive(command)
+            is EntryDisconnected -> disconnected(command.connection)
+            is UpstreamAnnounced -> command.accepted.complete(announced(command.announcement))
+            is UpstreamLeft -> left(command.idle)
+            is CallEnded -> runner.callEnded(command)
+            is StopEnded -> Unit
+            is ProbeEnded -> Unit
+            is Tick -> passTime()
+            is DrainRequested -> drain(command.done)
+            is DumpRequested -> command.reply.complete(dump())
+        }
+    }
+
+    private fun hello(address: NodeAddress): AgentHello? {
+        if (address !in wantedAddresses()) return null
+        return AgentHello(id, settings.failureDomain, announcement, settingsReplica.revisions)
+    }
+
+    private fun wantedAddresses(): Set<NodeAddress> =
+        settings.entries.toSet() + rosters.flatMap { roster -> roster.members.map { it.address } }
+
+    private fun connected(command: EntryConnected): Boolean {
+        val connection = command.connection
+        val present = connections[connection.entry]
+        if (present != null && present.address != connection.address) {
+            logger.event(AgentEvent.ENTRY_REDUNDANT, "entry" to connection.entry, "address" to connection.address)
+            return false
+        }
+        logger.event(AgentEvent.ENTRY_CONNECTED, "entry" to connection.entry, "address" to connection.address)
+        connections.put(connection)?.link?.close()
+        ledger.disconnected(connection.entry)
+        welcome(command)
+        return true
+    }
+
+    private fun welcome(command: EntryConnected) {
+        val entry = command.connection.entry
+        if (command.hello.announcement != announcement) connections.send(entry, UpstreamUpdate(announcement))
+        learnRosters(command.welcome.rosters)
+        applySettings(command.welcome.settings)
+        val newer = settingsReplica.newerThan(command.welcome.settings)
+        if (newer.isNotEmpty()) connections.send(entry, SettingsUpdate(newer))
+        connections.send(entry, SettingsApplied(settingsReplica.revisions))
+        runner.resend(entry)
+        runner.send(ledger.connected(entry))
+    }
+
+    private fun disconnected(connection: EntryConnection) {
+        if (!connections.isCurrent(connection)) return
+        logger.event(AgentEvent.ENTRY_DISCONNECTED, "entry" to connection.entry, "address" to connection.address)
+        connections.remove(connection.entry)
+        runner.send(ledger.disconnected(connection.entry))
+    }
+
+    private fun receive(command: EntryMessage) {
+        val entry = command.connection.entry
+        when (val message = command.message) {
+            is Start -> runner.start(entry, message, announcement)
+            is Acknowledge -> runner.acknowledge(entry, message)
+            is Revoke -> runner.revoke(entry, message)
+            is Reconcile -> runner.reconcile(entry, message)
+            is Cancel -> Unit
+            is CreditRequest -> runner.send(ledger.requested(entry, message.wanted))
+            is CreditReturn -> runner.send(ledger.returned(entry, message.count))
+            is RosterUpdate -> learnRosters(message.rosters)
+            is SettingsUpdate -> applySettings(message.settings)
+            else -> logger.debug { "Message not meant for an agent: ${message.javaClass.simpleName}" }
+        }
+    }
+
+    private fun learnRosters(told: List<Roster>) {
+        val newest = told.maxOfOrNull { it.version } ?: return
+        if (newest < (rosters.maxOfOrNull { it.version } ?: 0)) return
+        rosters = told
+        wantedAddresses().forEach(dial)
+    }
+
+    private fun applySettings(told: List<StoredTeamSettings>) {
+        val changed = settingsReplica.apply(told)
+        if (changed.isEmpty()) return
+        changed.forEach { logger.event(AgentEvent.SETTINGS_APPLIED, "team" to it.team, "revision" to it.revision) }
+        connections.sendAll(SettingsApplied(settingsReplica.revisions))
+    }
+
+    private fun announced(told: UpstreamAnnouncement): Boolean {
+        if (drained != null) return false
+        if (told == announcement) return true
+        logger.event(AgentEvent.UPSTREAM_ANNOUNCED, "service" to told.service, "slots" to told.slots)
+        announcement = told
+        connections.sendAll(UpstreamUpdate(told))
+        runner.send(ledger.resize(minOf(told.slots, told.connections)))
+        return true
+    }
+
+    private fun left(idle: CompletableDeferred<Unit>) {
+        if (announcement != null) logger.event(AgentEvent.UPSTREAM_LEAVING)
+        withdrawUpstream()
+        idleWaiters += idle
+    }
+
+    private fun withdrawUpstream() {
+        announcement = null
+        connections.sendAll(UpstreamUpdate(null))
+        runner.send(ledger.resize(0))
+    }
+
+    private fun drain(done: CompletableDeferred<Unit>) {
+        logger.event(AgentEvent.DRAINING)
+        ready = false
+        drained = done
+        withdrawUpstream()
+    }
+
+    private fun passTime() {
+        gate.expire(nowMillis())
+        runner.send(ledger.relieve())
+    }
+
+    private fun completeWaiters() {
+        if (!runner.idle) return
+        idleWaiters.forEach { it.complete(Unit) }
+        idleWaiters.clear()
+        if (drained != null && gate.unacknowledged.isEmpty()) drained?.complete(Unit)
+    }
+
+    private fun dump(): AgentDump =
+        AgentDump(
+            agent = id,
+            failureDomain = settings.failureDomain,
+            draining = drained != null,
+            upstream = announcement,
+            upstreamReachable = true,
+            slots = ledger.slots,
+            runningTasks = gate.running.map { it.toString() },
+            unacknowledgedTasks = gate.unacknowledged.map { it.attempt.task.toString() },
+            rememberedTasks = gate.size,
+            entries = connections.all.map { EntryDump(it.entry, it.address, ledger.grantedTo(it.entry)) },
+            dialledAddresses = wantedAddresses().toList(),
+            rosters = rosters,
+            settings = settingsReplica.all,
+        )
+}
--- /dev/null
+++ b/egretlock-agent/src/main/kotlin/io/egretlock/agent/AgentProcess.kt
@@ -0,0 +1,124 @@
+package io.egretlock.agent
+
+import io.egretlock.core.job.ProcessId
+import io.egretlock.core.roster.NodeAddress
+import io.egretlock.process.Inspectable
+import io.egretlock.process.OperatorsRoutes
+import io.egretlock.process.event
+import io.github.oshai.kotlinlogging.KotlinLogging
+import io.javalin.Javalin
+import io.javalin.config.JavalinConfig
+import io.ktor.network.selector.SelectorManager
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.isActive
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
+import kotlinx.serialization.encodeToString
+import kotlinx.serialization.json.Json
+import org.eclipse.jetty.util.thread.QueuedThreadPool
+import java.util.concurrent.ConcurrentHashMap
+
+private val logger = KotlinLogging.logger {}
+
+/** A running agent: its state, its connections to entries and its two HTTP servers. */
+internal class AgentProcess(
+    private val settings: AgentSettings,
+) : Inspectable {
+    private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
+    private val selector = SelectorManager(Dispatchers.IO)
+    private val client = HttpUpstreamClient()
+    private val metrics = AgentMetrics()
+    private val dialers = ConcurrentHashMap<NodeAddress, Job>()
+    private val id = ProcessId(settings.name, System.currentTimeMillis())
+    private val agent = Agent(id, settings, client, metrics, ::dial) { System.nanoTime() / NANOS_PER_MILLI }
+    private val servers = listOf(announceServer(), operatorsServer())
+
+    override val ready: Boolean
+        get() = agent.ready
+
+    /** Starts serving; throws if an address is in use. */
+    fun start() {
+        scope.launch { agent.run() }
+        scope.launch { tick() }
+        servers.forEach { it.start() }
+        logger.event(AgentEvent.STARTED, "agent" to id, "failureDomain" to settings.failureDomain)
+    }
+
+    /** Stops gracefully: no new tasks, then waits for running ones and for acknowledgements, up to the drain time. */
+    suspend fun stop() {
+        val done = CompletableDeferred<Unit>()
+        agent.commands.send(DrainRequested(done))
+        val complete = withTimeoutOrNull(settings.drainMillis) { done.await() }
+        if (complete == null) logger.event(AgentEvent.DRAIN_INCOMPLETE)
+        servers.forEach { it.stop() }
+        client.close()
+        scope.cancel()
+        logger.event(AgentEvent.STOPPED)
+    }
+
+    override suspend fun dump(): String = Json.encodeToString(currentDump())
+
+    private suspend fun currentDump(): AgentDump {
+        val reply = CompletableDeferred<AgentDump>()
+        agent.commands.send(DumpRequested(reply))
+        return reply.await()
+    }
+
+    private fun dial(address: NodeAddress) {
+        dialers.compute(address) { _, present ->
+            present?.takeIf { it.isActive } ?: scope.launch {
+                EntryDialer(address, settings.timing, selector, scope, agent.commands).run()
+            }
+        }
+    }
+
+    private suspend fun tick() {
+        while (scope.isActive) {
+            delay(TICK_MILLIS)
+            agent.commands.send(Tick)
+            metrics.observe(currentDump())
+        }
+    }
+
+    private fun announceServer(): HttpServer =
+        HttpServer(settings.announceAddress) { config ->
+            UpstreamRoutes(agent.commands, settings.drainMillis).addTo(config)
+        }
+
+    private fun operatorsServer(): HttpServer =
+        HttpServer(settings.operatorsAddress) { config ->
+            OperatorsRoutes(this, metrics.registry, settings.operatorToken).addTo(config)
+        }
+
+    private class HttpServer(
+        private val address: NodeAddress,
+        addRoutes: (JavalinConfig) -> Unit,
+    ) {
+        private val server =
+            Javalin.create { config ->
+                config.startup.showJavalinBanner = false
+                config.jetty.threadPool = QueuedThreadPool(LARGEST_THREADS, 2)
+                addRoutes(config)
+            }
+
+        fun start() {
+            server.start(address.host, address.port)
+        }
+
+        fun stop() {
+            server.stop()
+        }
+    }
+
+    private companion object {
+        const val NANOS_PER_MILLI = 1_000_000L
+        const val TICK_MILLIS = 1_000L
+        const val LARGEST_THREADS = 16
+    }
+}
--- /dev/null
+++ b/egretlock-agent/src/main/kotlin/io/egretlock/agent/CallEnd.kt
@@ -0,0 +1,16 @@
+package io.egretlock.agent
+
+import io.egretlock.core.job.TaskOutcome
+
+/** How a call to an upstream ended. */
+internal sealed interface CallEnd {
+    /** No byte of the request was sent: the task has not started. */
+    data class NotStarted(
+        val detail: String,
+    ) : CallEnd
+
+    /** The request was sent, at least in part. */
+    data class Ended(
+        val outcome: TaskOutcome,
+    ) : CallEnd
+}
--- /dev/null
+++ b/egretlock-agent/src/main/kotlin/io/egretlock/agent/EntryConnection.kt
@@ -0,0 +1,12 @@
+package io.egretlock.agent
+
+import io.egretlock.core.job.ProcessId
+import io.egretlock.core.roster.NodeAddress
+import io.egretlock.protocol.Link
+
+/** A connection that an entry has welcomed. */
+internal class EntryConnection(
+    val entry: ProcessId,
+    val address: NodeAddress,
+    val link: Link,
+)
--- /dev/null
+++ b/egretlock-agent/src/main/kotlin/io/egretlock/agent/EntryDialer.kt
@@ -0,0 +1,147 @@
+package io.egretlock.agent
+
+import io.egretlock.core.roster.NodeAddress
+import io.egretlock.process.event
+import io.egretlock.protocol.AgentHello
+import io.egretlock.protocol.Link
+import io.egretlock.protocol.LinkTiming
+import io.egretlock.protocol.Welcome
+import io.github.oshai.kotlinlogging.KotlinLogging
+import io.ktor.network.selector.SelectorManager
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.TimeoutCancellationException
+import kotlinx.coroutines.channels.SendChannel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
+import java.io.IOException
+import kotlin.random.Random
+
+private val logger = KotlinLogging.logger {}
+
+/**
+ * Keeps one address of an entry connected: dials it, dials again after the connection ended, and dials a second
+ * connection while the first has been silent for half of the silence limit. The second replaces the first once the
+ * entry has welcomed it.
+ */
+internal class EntryDialer(
+    private val address: NodeAddress,
+    private val timing: LinkTiming,
+    private val selector: SelectorManager,
+    private val scope: CoroutineScope,
+    private val commands: SendChannel<AgentCommand>,
+) {
+    /** Runs until the agent says that the address is not to be dialled any more. */
+    suspend fun run() {
+        var failures = 0
+        while (true) {
+            val hello = requestHello() ?: return
+            val attempt = connect(hello)
+            if (attempt is Attempt.Connected) {
+                failures = 0
+                stayConnected(attempt)
+                delay(pauseMillis(failures))
+            } else {
+                delay(if (attempt is Attempt.Redundant) REDUNDANT_PAUSE_MILLIS else pauseMillis(failures++))
+            }
+        }
+    }
+
+    private suspend fun stayConnected(first: Attempt.Connected) {
+        var current = first
+        while (current.pump.isActive) {
+            withTimeoutOrNull(timing.heartbeatMillis) { current.pump.join() }
+            if (current.pump.isActive && current.connection.link.silentMillis() > timing.silenceMillis / 2) {
+                current = replace(current) ?: return
+            }
+        }
+    }
+
+    private suspend fun replace(doubtful: Attempt.Connected): Attempt.Connected? {
+        logger.event(AgentEvent.ENTRY_IN_DOUBT, "entry" to doubtful.connection.entry, "address" to address)
+        val hello = requestHello() ?: return null
+        val second = connect(hello) as? Attempt.Connected ?: return doubtful
+        doubtful.connection.link.close()
+        return second
+    }
+
+    private suspend fun requestHello(): AgentHello? {
+        val reply = CompletableDeferred<AgentHello?>()
+        commands.send(HelloRequested(address, reply))
+        return reply.await()
+    }
+
+    private suspend fun connect(hello: AgentHello): Attempt {
+        val link = dial() ?: return Attempt.Failed
+        link.send(hello)
+        val first = withTimeoutOrNull(timing.silenceMillis) { link.incoming.receiveCatching().getOrNull() }
+        if (first !is Welcome) {
+            link.close()
+            return Attempt.Failed
+        }
+        return register(EntryConnection(first.entry, address, link), hello, first)
+    }
+
+    private suspend fun register(
+        connection: EntryConnection,
+        hello: AgentHello,
+        welcome: Welcome,
+    ): Attempt {
+        val accepted = CompletableDeferred<Boolean>()
+        commands.send(EntryConnected(connection, hello, welcome, accepted))
+        if (accepted.await()) return Attempt.Connected(connection, scope.launch { pump(connection) })
+        connection.link.close()
+        return Attempt.Redundant
+    }
+
+    private suspend fun pump(connection: EntryConnection) {
+        try {
+            for (message in connection.link.incoming) commands.send(EntryMessage(connection, message))
+        } finally {
+            connection.link.close()
+            commands.trySend(EntryDisconnected(connection))
+        }
+    }
+
+    private suspend fun dial(): Link? =
+        try {
+            Link.dial(address, selector, scope, timing)
+        } catch (unreachable: IOException) {
+            logger.debug { "Entry at $address is unreachable: $unreachable" }
+            null
+        } catch (late: TimeoutCancellationException) {
+            logger.debug { "Entry at $address does not answer: $late" }
+            null
+        }
+
+    private fun pauseMillis(failures: Int): Long {
+        val longest =
+            (
+                SHORTEST_PAUSE_MILLIS shl
+                    failures.coerceAtMost(
+                        LARGEST_SHIFT,
+                    )
+            ).coerceAtMost(LONGEST_PAUSE_MILLIS)
+        return Random.nextLong(longest / 2, longest + 1)
+    }
+
+    private sealed interface Attempt {
+        data object Failed : Attempt
+
+        data object Redundant : Attempt
+
+        data class Connected(
+            val connection: EntryConnection,
+            val pump: Job,
+        ) : Attempt
+    }
+
+    private companion object {
+        const val SHORTEST_PAUSE_MILLIS = 50L
+        const val LONGEST_PAUSE_MILLIS = 1_000L
+        const val LARGEST_SHIFT = 10
+        const val REDUNDANT_PAUSE_MILLIS = 5_000L
+    }
+}
--- /dev/null
+++ b/egretlock-agent/src/main/kotlin/io/egretlock/agent/HttpUpstreamClient.kt
@@ -0,0 +1,237 @@
+package io.egretlock.agent
+
+import io.egretlock.core.job.Reason
+import io.egretlock.core.job.TaskId
+import io.egretlock.core.job.TaskOutcome
+import io.egretlock.core.job.TaskSpecification
+import io.egretlock.core.job.Verdict
+import io.egretlock.core.placement.UpstreamAnnouncement
+import kotlinx.serialization.ExperimentalSerializationApi
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.JsonElement
+import kotlinx.serialization.json.JsonNull
+import kotlinx.serialization.json.JsonPrimitive
+import kotlinx.serialization.json.JsonUnquotedLiteral
+import kotlinx.serialization.json.buildJsonObject
+import okhttp3.Call
+import okhttp3.Callback
+import okhttp3.ConnectionPool
+import okhttp3.Dispatcher
+import okhttp3.HttpUrl
+import okhttp3.HttpUrl.Companion.toHttpUrl
+import okhttp3.MediaType.Companion.toMediaType
+import okhttp3.OkHttpClient
+import okhttp3.Protocol
+import okhttp3.Request
+import okhttp3.RequestBody.Companion.toRequestBody
+import okhttp3.Response
+import java.io.IOException
+import java.net.InetSocketAddress
+import java.net.Socket
+import java.util.concurrent.ExecutorService
+import java.util.concurrent.LinkedBlockingQueue
+import java.util.concurrent.ThreadPoolExecutor
+import java.util.concurrent.TimeUnit
+
+/**
+ * Calls an upstream by HTTP. Every request is sent at most once: connection retries, redirects and OkHttp's own
+ * follow-up requests are off.
+ */
+internal class HttpUpstreamClient : UpstreamClient {
+    private val threads = threadPool()
+    private val pool = ConnectionPool(LARGEST_IDLE_CONNECTIONS, IDLE_SECONDS, TimeUnit.SECONDS)
+    private val client =
+        OkHttpClient
+            .Builder()
+            .dispatcher(unboundedDispatcher(threads))
+            .connectionPool(pool)
+            .protocols(listOf(Protocol.HTTP_1_1))
+            .retryOnConnectionFailure(false)
+            .followRedirects(false)
+            .connectTimeout(CONNECT_MILLIS, TimeUnit.MILLISECONDS)
+            .readTimeout(0, TimeUnit.MILLISECONDS)
+            .writeTimeout(0, TimeUnit.MILLISECONDS)
+            .eventListenerFactory { call -> call.request().tag(SendTracker::class.java) ?: SendTracker() }
+            .addNetworkInterceptor(SingleSend)
+            .build()
+
+    override fun run(
+        upstream: UpstreamAnnouncement,
+        task: TaskId,
+        specification: TaskSpecification,
+        remainingMillis: Long,
+        onEnd: (CallEnd) -> Unit,
+    ) {
+        val tracker = SendTracker()
+        val body = requestBody(specification, remainingMillis).toRequestBody(JSON_TYPE)
+        val request =
+            Request
+                .Builder()
+                .url(taskUrl(upstream, task))
+                .post(body)
+                .tag(SendTracker::class.java, tracker)
+                .build()
+        val call = client.newCall(request)
+        call.timeout().timeout(remainingMillis, TimeUnit.MILLISECONDS)
+        call.enqueue(RunCallback(tracker, onEnd))
+    }
+
+    override fun stop(
+        upstream: UpstreamAnnouncement,
+        task: TaskId,
+        onEnd: () -> Unit,
+    ) {
+        val call =
+            client.newCall(
+                Request
+                    .Builder()
+                    .url(taskUrl(upstream, task))
+                    .delete()
+                    .build(),
+            )
+        call.timeout().timeout(STOP_MILLIS, TimeUnit.MILLISECONDS)
+        call.enqueue(StopCallback(onEnd))
+    }
+
+    override fun probe(
+        upstream: UpstreamAnnouncement,
+        onEnd: (Boolean) -> Unit,
+    ) {
+        threads.execute { onEnd(accepts(upstream.address.toHttpUrl())) }
+    }
+
+    override fun dropIdleConnections() = pool.evictAll()
+
+    override fun close() {
+        client.dispatcher.cancelAll()
+        threads.shutdown()
+        pool.evictAll()
+    }
+
+    private fun accepts(url: HttpUrl): Boolean =
+        try {
+            Socket().use { it.connect(InetSocketAddress(url.host, url.port), CONNECT_MILLIS.toInt()) }
+            true
+        } catch (_: IOException) {
+            false
+        }
+
+    private class RunCallback(
+        private val tracker: SendTracker,
+        private val onEnd: (CallEnd) -> Unit,
+    ) : Callback {
+        override fun onResponse(
+            call: Call,
+            response: Response,
+        ) = onEnd(
+            try {
+                CallEnd.Ended(outcomeOf(response))
+            } catch (failure: IOException) {
+                endWithoutAnswer(failure)
+            },
+        )
+
+        override fun onFailure(
+            call: Call,
+            e: IOException,
+        ) = onEnd(endWithoutAnswer(e))
+
+        private fun endWithoutAnswer(failure: IOException): CallEnd =
+            if (tracker.mayHaveSent) {
+                val detail = "No answer from the upstream: ${failure.javaClass.simpleName}."
+                CallEnd.Ended(TaskOutcome.Ended(Verdict.MayHaveRun(Reason.UPSTREAM_LOST, detail)))
+            } else {
+                CallEnd.NotStarted("No connection to the upstream: ${failure.javaClass.simpleName}.")
+            }
+    }
+
+    private class StopCallback(
+        private val onEnd: () -> Unit,
+    ) : Callback {
+        override fun onResponse(
+            call: Call,
+            response: Response,
+        ) {
+            response.close()
+            onEnd()
+        }
+
+        override fun onFailure(
+            call: Call,
+            e: IOException,
+        ) = onEnd()
+    }
+
+    internal companion object {
+        const val LARGEST_ANSWER_BYTES = 16L * 1_024 * 1_024
+        private const val CONNECT_MILLIS = 1_000L
+        private const val STOP_MILLIS = 2_000L
+        private const val IDLE_SECONDS = 30L
+        private const val LARGEST_IDLE_CONNECTIONS = 64
+        private const val THREAD_IDLE_SECONDS = 10L
+        private const val LARGEST_THREADS = 256
+        private val JSON_TYPE = "application/json".toMediaType()
+
+        private fun threadPool(): ExecutorService =
+            ThreadPoolExecutor(
+                LARGEST_THREADS,
+                LARGEST_THREADS,
+                THREAD_IDLE_SECONDS,
+                TimeUnit.SECONDS,
+                LinkedBlockingQueue(),
+            ) { task -> Thread(task, "upstream-call").apply { isDaemon = true } }
+                .apply { allowCoreThreadTimeOut(true) }
+
+        private fun unboundedDispatcher(threads: ExecutorService): Dispatcher =
+            Dispatcher(threads).apply {
+                maxRequests = Int.MAX_VALUE
+                maxRequestsPerHost = Int.MAX_VALUE
+            }
+
+        private fun taskUrl(
+            upstream: UpstreamAnnouncement,
+            task: TaskId,
+        ): HttpUrl =
+            upstream.address
+                .toHttpUrl()
+                .newBuilder()
+                .addPathSegment("tasks")
+                .addPathSegment(task.toString())
+                .build()
+
+        private fun requestBody(
+            specification: TaskSpecification,
+            remainingMillis: Long,
+        ): String =
+            buildJsonObject {
+                put("operation", JsonPrimitive(specification.operation.value))
+                put("payload", rawJson(specification.payload))
+                put("remainingMillis", JsonPrimitive(remainingMillis))
+            }.toString()
+
+        @OptIn(ExperimentalSerializationApi::class)
+        private fun rawJson(text: String): JsonElement =
+            if (text.trim() == JsonNull.content) JsonNull else JsonUnquotedLiteral(text)
+
+        private fun outcomeOf(response: Response): TaskOutcome =
+            response.use {
+                if (!response.isSuccessful) return failed("The upstream answered with status ${response.code}.")
+                val source = response.body.source()
+                if (source.request(LARGEST_ANSWER_BYTES + 1)) return failed("The upstream's answer is too large.")
+                val answer = source.readUtf8()
+                if (isJson(answer)) TaskOutcome.Succeeded(answer) else failed("The upstream's answer is not JSON.")
+            }
+
+        private fun failed(detail: String): TaskOutcome =
+            TaskOutcome.Ended(Verdict.Failed(Reason.UPSTREAM_FAILED, detail))
+
+        private fun isJson(text: String): Boolean =
+            try {
+                Json.parseToJsonElement(text)
+                true
+            } catch (_: SerializationException) {
+                false
+            }
+    }
+}
--- /dev/null
+++ b/egretlock-agent/src/main/kotlin/io/egretlock/agent/TaskRunner.kt
@@ -0,0 +1,176 @@
+package io.egretlock.agent
+
+import io.egretlock.core.gate.CreditAction
+import io.egretlock.core.gate.KeptAnswer
+import io.egretlock.core.gate.SlotLedger
+import io.egretlock.core.gate.StartDecision
+import io.egretlock.core.gate.StartGate
+import io.egretlock.core.gate.TaskAttempt
+import io.egretlock.core.job.ProcessId
+import io.egretlock.core.job.TaskId
+import io.egretlock.core.job.TaskOutcome
+import io.egretlock.core.placement.UpstreamAnnouncement
+import io.egretlock.process.event
+import io.egretlock.protocol.Acknowledge
+import io.egretlock.protocol.Finished
+import io.egretlock.protocol.Reconcile
+import io.egretlock.protocol.ReconcileReply
+import io.egretlock.protocol.Revoke
+import io.egretlock.protocol.RevokeReply
+import io.egretlock.protocol.Start
+import io.egretlock.protocol.StartRefused
+import io.github.oshai.kotlinlogging.KotlinLogging
+
+private val logger = KotlinLogging.logger {}
+
+/**
+ * Starts tasks on the upstream and brings their answers to the entries. Confined to the [Agent].
+ *
+ * @property nowMillis monotonic time.
+ */
+internal class TaskRunner(
+    private val gate: StartGate,
+    private val ledger: SlotLedger,
+    private val client: UpstreamClient,
+    private val connections: EntryConnections,
+    private val metrics: AgentMetrics,
+    private val onCallEnd: (CallEnded) -> Unit,
+    private val nowMillis: () -> Long,
+) {
+    private val calls = HashMap<TaskId, RunningCall>()
+
+    /** Whether no task runs. */
+    val idle: Boolean
+        get() = calls.isEmpty()
+
+    /** Tasks handed to the upstream that have not ended, with the upstream that has them. */
+    fun upstreamOf(task: TaskId): UpstreamAnnouncement? = calls[task]?.upstream
+
+    /** Starts a task on [upstream] if a credit of [entry] allows it and the task has not been started before. */
+    fun start(
+        entry: ProcessId,
+        message: Start,
+        upstream: UpstreamAnnouncement?,
+    ) {
+        val slotTaken = ledger.spend(entry)
+        val decision = decide(entry, message, slotTaken && upstream != null)
+        if (decision == StartDecision.ADMITTED && upstream != null) return call(entry, message, upstream)
+        if (slotTaken) connections.send(ledger.freed(entry, reusable = false).actions)
+        if (decision == StartDecision.REFUSED) refuse(entry, message.attempt) else ignore(entry, message.attempt)
+    }
+
+    private fun decide(
+        entry: ProcessId,
+        message: Start,
+        possible: Boolean,
+    ): StartDecision {
+        if (possible && message.remainingMillis > 0) return gate.start(entry, message.attempt, nowMillis())
+        val started = gate.revoke(message.attempt, nowMillis())
+        return if (started) StartDecision.DUPLICATE else StartDecision.REFUSED
+    }
+
+    private fun call(
+        entry: ProcessId,
+        message: Start,
+        upstream: UpstreamAnnouncement,
+    ) {
+        val task = message.attempt.task
+        val startedAtMillis = nowMillis()
+        calls[task] = RunningCall(entry, message.attempt, upstream)
+        metrics.started()
+        client.run(upstream, task, message.specification, message.remainingMillis) { end ->
+            onCallEnd(CallEnded(task, end, nowMillis() - startedAtMillis))
+        }
+    }
+
+    private fun refuse(
+        entry: ProcessId,
+        attempt: TaskAttempt,
+    ) {
+        logger.event(AgentEvent.START_REFUSED, "entry" to entry, "task" to attempt.task)
+        metrics.refused()
+        connections.send(entry, StartRefused(attempt))
+    }
+
+    private fun ignore(
+        entry: ProcessId,
+        attempt: TaskAttempt,
+    ) {
+        logger.event(AgentEvent.DUPLICATE_START, "entry" to entry, "task" to attempt.task)
+        metrics.duplicate()
+    }
+
+    /** Settles a task whose call ended. */
+    fun callEnded(ended: CallEnded) {
+        val call = calls.remove(ended.task) ?: return
+        when (val end = ended.end) {
+            is CallEnd.NotStarted -> notStarted(call)
+            is CallEnd.Ended -> finished(call, end.outcome, ended.runMillis)
+        }
+    }
+
+    private fun notStarted(call: RunningCall) {
+        gate.notStarted(call.attempt.task, nowMillis())
+        refuse(call.entry, call.attempt)
+        connections.send(ledger.freed(call.entry, reusable = false).actions)
+    }
+
+    private fun finished(
+        call: RunningCall,
+        outcome: TaskOutcome,
+        runMillis: Long,
+    ) {
+        val answer = gate.finish(call.attempt.task, outcome, runMillis, nowMillis())
+        if (outcome is TaskOutcome.Ended) {
+            logger.event(AgentEvent.TASK_WITHOUT_ANSWER, "task" to call.attempt.task, "verdict" to outcome.verdict)
+        }
+        metrics.finished(outcome)
+        val slot = ledger.freed(call.entry, reusable = answer?.owner == call.entry)
+        if (answer != null) send(answer, slot.credit)
+        connections.send(slot.actions)
+    }
+
+    /** Drops answers that have arrived. */
+    fun acknowledge(
+        entry: ProcessId,
+        message: Acknowledge,
+    ) = gate.acknowledge(entry, message.tasks, nowMillis())
+
+    /** Excludes an attempt and tells whether that came too late. */
+    fun revoke(
+        entry: ProcessId,
+        message: Revoke,
+    ) {
+        val started = gate.revoke(message.attempt, nowMillis())
+        connections.send(entry, RevokeReply(message.attempt, started))
+    }
+
+    /** Tells what became of attempts, then sends the answers of those that ended. */
+    fun reconcile(
+        entry: ProcessId,
+        message: Reconcile,
+    ) {
+        connections.send(entry, ReconcileReply(gate.reconcile(entry, message.attempts, nowMillis())))
+        gate.answers(entry, message.attempts).forEach { send(it, credit = false) }
+    }
+
+    /** Sends the answers that [entry] has not acknowledged. */
+    fun resend(entry: ProcessId) {
+        gate.forgetEarlier(entry, nowMillis())
+        gate.unacknowledged.filter { it.owner == entry }.forEach { send(it, credit = false) }
+    }
+
+    /** Sends what the ledger says is due. */
+    fun send(actions: List<CreditAction>) = connections.send(actions)
+
+    private fun send(
+        answer: KeptAnswer,
+        credit: Boolean,
+    ) = connections.send(answer.owner, Finished(answer.attempt.task, answer.outcome, answer.runMillis, credit))
+
+    private data class RunningCall(
+        val entry: ProcessId,
+        val attempt: TaskAttempt,
+        val upstream: UpstreamAnnouncement,
+    )
+}
--- a/egretlock-protocol/src/main/kotlin/io/egretlock/protocol/Link.kt
+++ b/egretlock-protocol/src/main/kotlin/io/egretlock/protocol/Link.kt
@@ -148,7 +148,8 @@
         logger.debug { "Connection silent for ${silentMillis()} ms." }
     }
 
-    private fun silentMillis(): Long = (System.nanoTime() - lastHeardNanos.get()) / NANOS_PER_MILLI
+    /** Time since the last frame of the other end, in milliseconds. */
+    fun silentMillis(): Long = (System.nanoTime() - lastHeardNanos.get()) / NANOS_PER_MILLI
 
     companion object {
         private const val NANOS_PER_MILLI = 1_000_000L
--- a/egretlock-protocol/src/main/kotlin/io/egretlock/protocol/Message.kt
+++ b/egretlock-protocol/src/main/kotlin/io/egretlock/protocol/Message.kt
@@ -89,12 +89,8 @@
     val revisions: List<SettingsRevision>,
 ) : Message
 
-/** One placement of a task. A task that was revoked may be placed again under a higher [attempt]. */
-@Serializable
-data class TaskAttempt(
-    val task: TaskId,
-    val attempt: Int,
-)
+/** One placement of a task. */
+typealias TaskAttempt = io.egretlock.core.gate.TaskAttempt
 
 /**
  * Entry to agent: start a task, spending one credit.
@@ -204,15 +200,10 @@
 ) : Message
 
 /** What an agent knows of an attempt. */
-@Serializable
-enum class AttemptState { RUNNING, FINISHED, NEVER_SEEN, REVOKED }
+typealias AttemptState = io.egretlock.core.gate.AttemptState
 
 /** State of one attempt at an agent. */
-@Serializable
-data class AttemptStatus(
-    val attempt: TaskAttempt,
-    val state: AttemptState,
-)
+typealias AttemptStatus = io.egretlock.core.gate.AttemptStatus
 
 /** Agent to entry: answers [Reconcile], one status for each attempt. [Finished] follows for finished ones. */
 @Serializable
