Decide placement, order and admission at a home entry

Cause: the whole path needs decisions that hold under load; until now only their interface existed. Ruled out: one class with flags for every variant. Change: FairDispatcher and its parts; Dispatcher gains entriesChanged with an empty default, because an entry enforces its share of each limit and has to know how many entries there are. While writing, a test showed that a slow agent stayed closed when it was the only one left; the pool now reviews slow agents whenever the fit ones change.

--- /dev/null
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/placement/AgentPool.kt
@@ -0,0 +1,241 @@
+package io.egretlock.core.placement
+
+import io.egretlock.core.job.ProcessId
+import kotlin.math.roundToInt
+
+/**
+ * Agents, their credits and their order of choice.
+ *
+ * An agent that is several times slower than the average serves only probes, so that it does not delay whole jobs,
+ * unless [slowAgentsAreUsed] says that the backlog justifies it or no other agent is left.
+ */
+internal class AgentPool(
+    private val runTimes: RunTimes,
+) {
+    private val agents = HashMap<ProcessId, AgentState>()
+    private val slowAgents = LinkedHashSet<AgentState>()
+    private val free = FreeAgents()
+    private val freeForLong = FreeAgents()
+    private var longShare = 1.0
+    private var entryShare = EntryShare()
+    private var longLimits = 0
+    private var runningLong = 0
+    private var nextSlowProbeAtMillis = Long.MIN_VALUE
+
+    val size: Int
+        get() = agents.size
+
+    /** Credits that could be spent now. */
+    var usableCredits = 0
+        private set
+
+    /** Work that this entry's share of the agents does per millisecond, in milliseconds on an agent of slowness 1. */
+    val nominalRate: Double
+        get() = allNominalRate / entryShare.count
+
+    /** Long tasks that could start now if there were credits. */
+    val longRoom: Int
+        get() = (longLimits - runningLong).coerceAtLeast(if (longLimits == 0 && runningLong == 0) 1 else 0)
+
+    private var allNominalRate = 0.0
+
+    /** Agents that are neither slow nor suspended. */
+    private var fitAgents = 0
+    private var slowAgentsAreOpen = true
+
+    /** Whether slow agents get more than probes. */
+    var slowAgentsAreUsed = false
+        set(value) {
+            field = value
+            reviewSlowAgents()
+        }
+
+    /** Makes an agent available or updates its view. */
+    fun changed(view: AgentView) {
+        val known = agents[view.agent]
+        if (known != null) {
+            change(known) {
+                known.view = view
+                limit(known)
+            }
+            return
+        }
+        val agent = AgentState(view)
+        agents[view.agent] = agent
+        agent.slowness = runTimes.slowness(view.agent)
+        limit(agent)
+        include(agent)
+        reviewSlowAgents()
+    }
+
+    /** Forgets an agent. */
+    fun lost(id: ProcessId) {
+        val agent = agents.remove(id) ?: return
+        exclude(agent)
+        free.countRunning(agent, -agent.running)
+        freeForLong.countRunning(agent, -agent.runningLong)
+        runningLong -= agent.runningLong
+        slowAgents.remove(agent)
+        reviewSlowAgents()
+    }
+
+    fun granted(
+        id: ProcessId,
+        count: Int,
+    ) {
+        val agent = agents[id] ?: return
+        change(agent) { agent.credits += count }
+    }
+
+    /** Gives up to [count] credits back and returns how many. */
+    fun recalled(
+        id: ProcessId,
+        count: Int,
+    ): Int {
+        val agent = agents[id] ?: return 0
+        val returned = minOf(count, agent.credits)
+        change(agent) { agent.credits -= returned }
+        return returned
+    }
+
+    /** The agent that should start the next task of [taskClass]; null if none is free. */
+    fun best(taskClass: TaskClass): AgentState? =
+        when {
+            taskClass == TaskClass.SHORT -> free.best()
+            longLimits == 0 && runningLong == 0 -> free.best()
+            else -> freeForLong.best()
+        }
+
+    /** Spends a credit of [agent] on a task. */
+    fun started(
+        agent: AgentState,
+        taskClass: TaskClass,
+    ) = change(agent) {
+        agent.credits--
+        agent.mayProbe = false
+        countRunning(agent, taskClass, 1)
+    }
+
+    /** Counts the end of a task on an agent that is still there. */
+    fun ended(
+        id: ProcessId,
+        taskClass: TaskClass,
+    ) {
+        val agent = agents[id] ?: return
+        change(agent) {
+            countRunning(agent, taskClass, -1)
+            agent.slowness = runTimes.slowness(id)
+        }
+        reviewSlowAgents()
+    }
+
+    /** Closes an agent for all but probes, or opens it again. */
+    fun suspend(
+        id: ProcessId,
+        isSuspended: Boolean,
+    ) {
+        val agent = agents[id] ?: return
+        if (agent.isSuspended == isSuspended) return
+        change(agent) { agent.isSuspended = isSuspended }
+        reviewSlowAgents()
+    }
+
+    /** Lets a closed agent start one task. */
+    fun allowProbe(id: ProcessId) {
+        val agent = agents[id] ?: return
+        change(agent) { agent.mayProbe = true }
+    }
+
+    /** Lets idle slow agents start one task each, once per interval. */
+    fun probeSlowAgents(nowMillis: Long) {
+        if (slowAgents.isEmpty() || nowMillis < nextSlowProbeAtMillis) return
+        nextSlowProbeAtMillis = nowMillis + SLOW_PROBE_INTERVAL_MILLIS
+        val idle = slowAgents.filter { it.running == 0 && !it.isSuspended }
+        idle.forEach { agent -> allowProbe(agent.id) }
+    }
+
+    /** Applies new limits to all agents. */
+    fun limitsChanged(
+        longShare: Double,
+        entryShare: EntryShare,
+    ) {
+        if (longShare == this.longShare && entryShare == this.entryShare) return
+        this.longShare = longShare
+        this.entryShare = entryShare
+        agents.values.forEach { agent -> change(agent) { limit(agent) } }
+    }
+
+    private fun limit(agent: AgentState) {
+        val slots = agent.view.upstream.slots
+        val longSlots = (slots * longShare).roundToInt().coerceIn(1, slots)
+        agent.longLimit = entryShare.ofRotated(longSlots, agent.id.name.hashCode())
+    }
+
+    private fun reviewSlowAgents() {
+        val areOpen = slowAgentsAreUsed || fitAgents == 0
+        if (areOpen == slowAgentsAreOpen) return
+        slowAgentsAreOpen = areOpen
+        slowAgents.toList().forEach { agent -> change(agent) { } }
+    }
+
+    private fun countRunning(
+        agent: AgentState,
+        taskClass: TaskClass,
+        tasks: Int,
+    ) {
+        agent.running += tasks
+        free.countRunning(agent, tasks)
+        if (taskClass == TaskClass.LONG) {
+            agent.runningLong += tasks
+            runningLong += tasks
+            freeForLong.countRunning(agent, tasks)
+        }
+    }
+
+    private fun access(agent: AgentState): AgentAccess {
+        val isOpen = !agent.isSuspended && (!agent.isSlow || slowAgentsAreOpen)
+        return when {
+            isOpen -> AgentAccess.OPEN
+            agent.mayProbe -> AgentAccess.PROBE
+            else -> AgentAccess.CLOSED
+        }
+    }
+
+    /** Takes [agent] out of all orders and sums, changes it, and puts it back. */
+    private inline fun change(
+        agent: AgentState,
+        block: () -> Unit,
+    ) {
+        exclude(agent)
+        block()
+        include(agent)
+    }
+
+    private fun exclude(agent: AgentState) {
+        free.remove(agent)
+        freeForLong.remove(agent)
+        free.countSlots(agent, -agent.view.upstream.slots)
+        freeForLong.countSlots(agent, -agent.view.upstream.slots)
+        usableCredits -= agent.usableCredits
+        allNominalRate -= agent.nominalRate
+        longLimits -= agent.longLimit
+        if (agent.isFit) fitAgents--
+    }
+
+    private fun include(agent: AgentState) {
+        if (agent.isSlow) slowAgents.add(agent) else slowAgents.remove(agent)
+        agent.access = access(agent)
+        if (agent.usableCredits > 0) free.add(agent)
+        if (agent.usableCredits > 0 && agent.mayStartLong) freeForLong.add(agent)
+        free.countSlots(agent, agent.view.upstream.slots)
+        freeForLong.countSlots(agent, agent.view.upstream.slots)
+        usableCredits += agent.usableCredits
+        allNominalRate += agent.nominalRate
+        longLimits += agent.longLimit
+        if (agent.isFit) fitAgents++
+    }
+
+    private companion object {
+        const val SLOW_PROBE_INTERVAL_MILLIS = 5_000L
+    }
+}
--- a/egretlock-core/src/main/kotlin/io/egretlock/core/placement/Dispatcher.kt
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/placement/Dispatcher.kt
@@ -17,6 +17,9 @@
     /** Applies the settings of one team, also to queued work. A lower revision than the one in force is ignored. */
     fun applySettings(settings: StoredTeamSettings)
 
+    /** Applies this entry's share of all limits, also to queued work. */
+    fun entriesChanged(share: EntryShare) = Unit
+
     /** Makes an agent available, or updates what it announced. */
     fun agentChanged(view: AgentView)
 
--- /dev/null
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/placement/FairDispatcher.kt
@@ -0,0 +1,231 @@
+package io.egretlock.core.placement
+
+import io.egretlock.core.job.Job
+import io.egretlock.core.job.JobId
+import io.egretlock.core.job.ProcessId
+import io.egretlock.core.job.Reason
+import io.egretlock.core.job.TaskId
+import io.egretlock.core.job.Verdict
+import io.egretlock.core.settings.StoredTeamSettings
+
+/**
+ * Dispatcher that shares slots fairly among teams, keeps short tasks from waiting behind long ones, refuses jobs that
+ * would miss their deadline, and avoids slow and failing agents. Built by [fairDispatcher].
+ */
+class FairDispatcher internal constructor(
+    private val parts: FairDispatcherParts,
+) : Dispatcher {
+    private val runTimes = parts.runTimes
+    private val admission = parts.admission
+    private val guard = parts.guard
+    private val policies = TeamPolicies(parts.service)
+    private val pool = AgentPool(runTimes)
+    private val checks = JobChecks(runTimes)
+    private val queues = ClassQueues(parts, policies)
+    private val forecaster = JobForecaster(parts, queues)
+    private val drainRate = DrainRate()
+    private val jobs = WaitingJobs()
+    private val running = HashMap<TaskId, RunningTask>()
+    private val views = HashMap<ProcessId, AgentView>()
+
+    private val rate: Double
+        get() = (pool.nominalRate * drainRate.factor).coerceAtLeast(SMALLEST_RATE)
+
+    override fun applySettings(settings: StoredTeamSettings) {
+        val account = policies.apply(settings) ?: return
+        queues.accountChanged(account)
+        queues.longShare = policies.longShare
+        pool.limitsChanged(policies.longShare, policies.entryShare)
+    }
+
+    override fun entriesChanged(share: EntryShare) {
+        policies.entryShare = share
+        policies.all.forEach(queues::accountChanged)
+        pool.limitsChanged(policies.longShare, share)
+    }
+
+    override fun agentChanged(view: AgentView) {
+        views.put(view.agent, view)?.let { old -> checks.remove(old.upstream.resources) }
+        checks.add(view.upstream.resources)
+        guard.add(view.agent)
+        pool.changed(view)
+    }
+
+    override fun agentLost(agent: ProcessId) {
+        val view = views.remove(agent) ?: return
+        checks.remove(view.upstream.resources)
+        guard.forget(agent)
+        pool.lost(agent)
+        runTimes.forget(agent)
+    }
+
+    override fun creditsGranted(
+        agent: ProcessId,
+        count: Int,
+    ) = pool.granted(agent, count)
+
+    override fun creditsRecalled(
+        agent: ProcessId,
+        count: Int,
+    ): Int = pool.recalled(agent, count)
+
+    override fun submit(
+        job: Job,
+        deadlineAtMillis: Long,
+        nowMillis: Long,
+    ): Admission {
+        val refusal = refusalOf(job, deadlineAtMillis - nowMillis, nowMillis)
+        if (refusal != null) return Admission.Refused(refusal)
+        val queued = QueuedJob(job, deadlineAtMillis)
+        queues.enqueue(queued)
+        jobs.add(queued)
+        return Admission.Admitted
+    }
+
+    override fun placements(nowMillis: Long): List<Placement> {
+        jobs.expire(nowMillis).forEach(queues::drop)
+        observe(nowMillis)
+        openAgents(nowMillis)
+        val placements = ArrayList<Placement>()
+        while (true) placements += placeNext() ?: break
+        return placements
+    }
+
+    override fun taskEnded(
+        task: TaskId,
+        agent: ProcessId,
+        runMillis: Long?,
+        succeeded: Boolean,
+        nowMillis: Long,
+    ) {
+        val ended = release(task) ?: return
+        if (runMillis != null && succeeded && ended.agent in views) learn(ended, runMillis)
+        if (ended.account.countsForGuard && (succeeded || !ended.job.isWithdrawn)) {
+            guard.record(ended.agent, ended.specification.operation, succeeded, nowMillis)
+            pool.suspend(ended.agent, guard.isSuspended(ended.agent))
+        }
+        pool.ended(ended.agent, ended.taskClass)
+        drainRate.finished(ended.workMillis)
+        forgetIfEnded(ended.job)
+    }
+
+    override fun taskReturned(
+        task: TaskId,
+        nowMillis: Long,
+    ) {
+        val returned = release(task) ?: return
+        pool.ended(returned.agent, returned.taskClass)
+        if (returned.job.isWithdrawn) {
+            forgetIfEnded(returned.job)
+            return
+        }
+        queues.putBack(returned, task.index)
+        jobs.add(returned.job)
+    }
+
+    override fun withdraw(job: JobId) {
+        val queued = jobs.remove(job) ?: return
+        queues.drop(queued)
+    }
+
+    override fun overdue(nowMillis: Long): List<JobId> {
+        jobs.expire(nowMillis).forEach(queues::drop)
+        return jobs.takeExpired()
+    }
+
+    override fun creditsWanted(): Int {
+        val useful = queues.short.startable + minOf(queues.long.startable, pool.longRoom)
+        return (useful - pool.usableCredits).coerceAtLeast(0)
+    }
+
+    private fun refusalOf(
+        job: Job,
+        remainingMillis: Long,
+        nowMillis: Long,
+    ): Verdict.NotRun? {
+        val limits = policies.limitsOf(job.team) ?: return policies.refusalOf(job.team)
+        val impossible = checks.refusal(job, limits, remainingMillis)
+        if (impossible != null) return impossible
+        val account = policies.accountOf(job.team)
+        val forecast = forecaster.forecast(job, account, remainingMillis, rate)
+        val waiting = queues.short.waitingOf(account) + queues.long.waitingOf(account)
+        if (waiting + job.tasks.size > limits.longestQueue) {
+            val detail = "$waiting tasks of team ${job.team} wait; at most ${limits.longestQueue} may"
+            return Verdict.NotRun(Reason.QUOTA, detail, forecast.waitMillis.toLong().coerceAtLeast(1))
+        }
+        observe(nowMillis)
+        return if (runTimes.hasLearned) admission.refusal(forecast, nowMillis) else null
+    }
+
+    private fun openAgents(nowMillis: Long) {
+        guard.probesDue(nowMillis).forEach(pool::allowProbe)
+        pool.probeSlowAgents(nowMillis)
+        val limit = if (pool.slowAgentsAreUsed) SLOW_AGENTS_CLEARED_MILLIS else SLOW_AGENTS_WAIT_MILLIS
+        pool.slowAgentsAreUsed = backlogMillis() > limit
+    }
+
+    private fun observe(nowMillis: Long) {
+        drainRate.observe(nowMillis, queues.startable > 0, pool.nominalRate)
+        admission.observe(backlogMillis(), nowMillis)
+    }
+
+    /** Time that the waiting tasks which no quota holds back need to drain. */
+    private fun backlogMillis(): Double {
+        if (queues.waiting == 0) return 0.0
+        return queues.workMillis / rate * queues.startable / queues.waiting
+    }
+
+    private fun placeNext(): Placement? {
+        val first = queues.firstClass()
+        val second = if (first == TaskClass.SHORT) TaskClass.LONG else TaskClass.SHORT
+        return placeNextOf(first) ?: placeNextOf(second)
+    }
+
+    private fun placeNextOf(taskClass: TaskClass): Placement? {
+        val part = queues.next(taskClass) ?: return null
+        val agent = pool.best(taskClass) ?: return null
+        return place(part, agent)
+    }
+
+    private fun place(
+        part: QueuedPart,
+        agent: AgentState,
+    ): Placement {
+        val job = part.owner
+        val account = policies.accountOf(job.job.team)
+        val specification = part.nextSpecification
+        val index = queues.take(part, account, longRoom = pool.longRoom > 0)
+        jobs.taskPlaced(job)
+        pool.started(agent, part.taskClass)
+        val task = TaskId(job.job.id, index)
+        running[task] = RunningTask(job, account, part.taskClass, agent.id, specification, part.workMillis)
+        return Placement(task, agent.id)
+    }
+
+    private fun release(task: TaskId): RunningTask? {
+        val ended = running.remove(task) ?: return null
+        ended.account.running--
+        ended.job.placedTasks--
+        queues.accountChanged(ended.account)
+        return ended
+    }
+
+    private fun forgetIfEnded(job: QueuedJob) {
+        if (job.placedTasks == 0 && job.waitingTasks == 0) jobs.remove(job.job.id)
+    }
+
+    private fun learn(
+        ended: RunningTask,
+        runMillis: Long,
+    ) {
+        val operation = ended.specification.operation
+        runTimes.record(operation, ended.agent, runMillis)
+        runTimes.typicalMillis(operation)?.let { typical -> parts.classifier.update(operation, typical) }
+    }
+
+    private companion object {
+        const val SMALLEST_RATE = 0.001
+        const val SLOW_AGENTS_WAIT_MILLIS = 1_000.0
+        const val SLOW_AGENTS_CLEARED_MILLIS = 250.0
+    }
+}
--- /dev/null
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/placement/JobDemand.kt
@@ -0,0 +1,35 @@
+package io.egretlock.core.placement
+
+import io.egretlock.core.job.Job
+
+/** Expected work of a job by class, in milliseconds on an agent of slowness 1, and the tail of its run times. */
+internal data class JobDemand(
+    val shortMillis: Double,
+    val longMillis: Double,
+    val tailMillis: Double,
+) {
+    val workMillis: Double
+        get() = shortMillis + longMillis
+
+    companion object {
+        /** Sums up the tasks of [job]. */
+        fun of(
+            job: Job,
+            classifier: TaskClassifier,
+            runTimes: RunTimes,
+        ): JobDemand {
+            var shortMillis = 0.0
+            var longMillis = 0.0
+            var tailMillis = 0.0
+            for (task in job.tasks) {
+                val expected = runTimes.expectedMillis(task.operation, task.declared.runMillis)
+                when (classifier.classOf(task.operation)) {
+                    TaskClass.SHORT -> shortMillis += expected
+                    TaskClass.LONG -> longMillis += expected
+                }
+                tailMillis = maxOf(tailMillis, runTimes.tailMillis(task.operation))
+            }
+            return JobDemand(shortMillis, longMillis, tailMillis)
+        }
+    }
+}
--- /dev/null
+++ b/egretlock-core/src/test/kotlin/io/egretlock/core/placement/AgentPoolTest.kt
@@ -0,0 +1,70 @@
+package io.egretlock.core.placement
+
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertNull
+import org.junit.jupiter.api.Test
+
+class AgentPoolTest {
+    private val runTimes = RunTimeLearner()
+    private val pool = AgentPool(runTimes)
+
+    @Test
+    fun `given agents of different speed, when chosen, then the fastest with a credit comes first`() {
+        learnSpeeds("fast" to 100L, "middle" to 250L)
+        withAgent("middle", credits = 1)
+        withAgent("fast", credits = 1)
+        assertEquals(listOf("fast", "middle", null), List(3) { startNext() })
+    }
+
+    @Test
+    fun `given equal agents in two domains, when chosen, then each domain starts in proportion to its slots`() {
+        withAgent("a1", credits = 2, domain = "etna-nord")
+        withAgent("a2", credits = 2, domain = "etna-nord")
+        withAgent("b1", credits = 4, domain = "nebrodi")
+        assertEquals(2, List(6) { startNext() }.count { it == "b1" })
+    }
+
+    @Test
+    fun `given a very slow agent, when it is idle, then it gets one probe per interval`() {
+        learnSpeeds("normal" to 100L, "normal" to 100L, "normal" to 100L, "normal" to 100L, "slow" to 1_500L)
+        withAgent("normal", credits = 0)
+        withAgent("slow", credits = 2)
+        assertNull(startNext())
+        pool.probeSlowAgents(0)
+        assertEquals(listOf("slow", null), List(2) { startNext() })
+        pool.ended(agentId("slow"), TaskClass.SHORT)
+        pool.probeSlowAgents(4_999)
+        assertNull(startNext())
+    }
+
+    @Test
+    fun `given a very slow agent, when it is the only one left, then it is used`() {
+        learnSpeeds("normal" to 100L, "normal" to 100L, "normal" to 100L, "normal" to 100L, "slow" to 1_500L)
+        withAgent("normal", credits = 0)
+        withAgent("slow", credits = 2)
+        pool.lost(agentId("normal"))
+        assertEquals(listOf("slow", "slow", null), List(3) { startNext() })
+    }
+
+    private fun learnSpeeds(vararg runs: Pair<String, Long>) =
+        repeat(ROUNDS) { runs.forEach { (agent, runMillis) -> runTimes.record(CHECK, agentId(agent), runMillis) } }
+
+    private fun withAgent(
+        name: String,
+        credits: Int,
+        domain: String = "etna-nord",
+    ) {
+        pool.changed(view(name, domain = domain))
+        pool.granted(agentId(name), credits)
+    }
+
+    private fun startNext(): String? =
+        pool.best(TaskClass.SHORT)?.let { agent ->
+            pool.started(agent, TaskClass.SHORT)
+            agent.id.name
+        }
+
+    private companion object {
+        const val ROUNDS = 60
+    }
+}
--- /dev/null
+++ b/egretlock-core/src/test/kotlin/io/egretlock/core/placement/FailureGuardTest.kt
@@ -0,0 +1,53 @@
+package io.egretlock.core.placement
+
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertFalse
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+
+class FailureGuardTest {
+    private val guard = FailureGuard().apply { listOf("a", "b", "c").forEach { add(agentId(it)) } }
+
+    @Test
+    fun `given failures with a success between, when recorded, then the agent stays`() {
+        repeat(5) {
+            record("a", false)
+            record("a", true)
+        }
+        assertFalse(guard.isSuspended(agentId("a")))
+    }
+
+    @Test
+    fun `given a suspended agent, when probes succeed one after the other, then it is restored`() {
+        repeat(3) { record("a", false) }
+        assertTrue(guard.isSuspended(agentId("a")))
+        assertEquals(emptyList<Any>(), guard.probesDue(499))
+        repeat(3) {
+            assertEquals(listOf(agentId("a")), guard.probesDue(500))
+            assertEquals(emptyList<Any>(), guard.probesDue(500))
+            record("a", true, 500)
+        }
+        assertFalse(guard.isSuspended(agentId("a")))
+    }
+
+    @Test
+    fun `given a suspended agent, when a probe fails, then the next one is later`() {
+        repeat(3) { record("a", false) }
+        guard.probesDue(500)
+        record("a", false, 600)
+        assertEquals(emptyList<Any>(), guard.probesDue(1_599))
+        assertEquals(listOf(agentId("a")), guard.probesDue(1_600))
+    }
+
+    @Test
+    fun `given failures everywhere, when recorded, then at most half of the agents are suspended`() {
+        repeat(20) { listOf("a", "b", "c").forEach { record(it, false) } }
+        assertEquals(1, listOf("a", "b", "c").count { guard.isSuspended(agentId(it)) })
+    }
+
+    private fun record(
+        agent: String,
+        succeeded: Boolean,
+        nowMillis: Long = 0,
+    ) = guard.record(agentId(agent), CHECK, succeeded, nowMillis)
+}
