--- a/egretlock-testing/src/main/kotlin/io/egretlock/testing/Main.kt
+++ b/egretlock-testing/src/main/kotlin/io/egretlock/testing/Main.kt
@@ -2,6 +2,7 @@
 
 import io.egretlock.process.LogFormat
 import io.egretlock.process.LogSetup
+import io.egretlock.testing.store.StoreCommand
 import io.egretlock.testing.upstream.UpstreamCommand
 import kotlin.system.exitProcess
 
@@ -11,12 +12,13 @@
 fun main(arguments: Array<String>) {
     LogSetup.apply(LogFormat.TEXT)
     when (arguments.firstOrNull()) {
+        "store" -> StoreCommand.run(arguments.drop(1))
         "upstream" -> UpstreamCommand.run(arguments.drop(1))
         else -> refuse()
     }
 }
 
 private fun refuse() {
-    System.err.println("usage: egretlock-testing upstream [flags]")
+    System.err.println("usage: egretlock-testing store|upstream [flags]")
     exitProcess(EXIT_USAGE)
 }
--- a/egretlock-testing/src/main/kotlin/io/egretlock/testing/upstream/UpstreamStandIn.kt
+++ b/egretlock-testing/src/main/kotlin/io/egretlock/testing/upstream/UpstreamStandIn.kt
@@ -30,10 +30,12 @@
  * records every start by task id.
  *
  * @param port TCP port on loopback; 0 takes a free one.
+ * @param onStart told of each start before anything else happens.
  */
 class UpstreamStandIn(
     val traits: UpstreamTraits,
     port: Int = 0,
+    private val onStart: (TaskStart) -> Unit = {},
 ) : AutoCloseable {
     private val recorded = ConcurrentLinkedQueue<TaskStart>()
     private val running = ConcurrentHashMap<String, CompletableFuture<TaskEnd>>()
@@ -85,7 +87,9 @@
     private fun start(context: Context) {
         val task = context.pathParam("task")
         val request = Json.decodeFromString<TaskRequest>(context.body())
-        recorded += TaskStart(task, request.operation, System.currentTimeMillis())
+        val taskStart = TaskStart(task, request.operation, System.currentTimeMillis())
+        recorded += taskStart
+        onStart(taskStart)
         mostSimultaneous.accumulateAndGet(simultaneous.incrementAndGet(), ::maxOf)
         val end = CompletableFuture<TaskEnd>()
         running[task] = end
