--- /dev/null
+++ b/egretlock-testing/src/main/kotlin/io/egretlock/testing/system/UpstreamNode.kt
@@ -0,0 +1,107 @@
+package io.egretlock.testing.system
+
+import io.egretlock.testing.upstream.TaskStart
+import io.egretlock.testing.upstream.UpstreamAnnouncer
+import io.egretlock.testing.upstream.UpstreamMode
+import io.egretlock.testing.upstream.UpstreamStandIn
+import io.egretlock.testing.upstream.UpstreamTraits
+import kotlinx.serialization.json.Json
+import okhttp3.OkHttpClient
+import okhttp3.Request
+import okhttp3.RequestBody.Companion.toRequestBody
+
+/** An upstream beside an agent. */
+interface UpstreamNode : AutoCloseable {
+    /** Every start that it ever saw. */
+    val starts: List<TaskStart>
+
+    /** Starts it and announces it to its agent. */
+    fun start()
+
+    /** Changes how it treats the tasks that start from now on. */
+    fun changeMode(mode: UpstreamMode)
+
+    /** Tells the agent that it leaves, and returns once the agent confirmed that. */
+    fun leave()
+}
+
+/** An upstream inside the test's own process. */
+class EmbeddedUpstream(
+    private val traits: UpstreamTraits,
+    private val announceAddress: String,
+) : UpstreamNode {
+    private lateinit var standIn: UpstreamStandIn
+    private lateinit var announcer: UpstreamAnnouncer
+
+    override val starts: List<TaskStart>
+        get() = standIn.starts
+
+    override fun start() {
+        standIn = UpstreamStandIn(traits)
+        announcer = UpstreamAnnouncer(standIn.announcement, "http://$announceAddress")
+        announcer.start()
+    }
+
+    override fun changeMode(mode: UpstreamMode) {
+        standIn.mode = mode
+    }
+
+    override fun leave() {
+        check(announcer.leave()) { "The agent at $announceAddress did not confirm that the upstream leaves." }
+    }
+
+    override fun close() {
+        announcer.close()
+        standIn.close()
+    }
+}
+
+/** An upstream in a process of its own, which can be killed, paused and started again. */
+class ProcessUpstream(
+    private val launcher: ProcessLauncher,
+    private val name: String,
+    private val traits: UpstreamTraits,
+    private val announceAddress: String,
+) : UpstreamNode {
+    private val processes = mutableListOf<ManagedProcess>()
+    private val port = ProcessLauncher.freePort()
+
+    /** The latest process. */
+    val process: ManagedProcess
+        get() = processes.last()
+
+    override val starts: List<TaskStart>
+        get() =
+            processes.flatMap { process ->
+                val lines = process.logText().lines().filter { it.startsWith("{\"task\"") }
+                lines.map { Json.decodeFromString<TaskStart>(it) }
+            }
+
+    override fun start() {
+        val flags =
+            listOf(
+                "--service=${traits.service}",
+                "--slots=${traits.slots}",
+                "--connections=${traits.connections}",
+                "--speed=${traits.speed}",
+                "--port=$port",
+                "--announce-address=$announceAddress",
+            )
+        processes += launcher.standIn(name, listOf("upstream") + flags.flatMap { it.split('=') })
+    }
+
+    override fun changeMode(mode: UpstreamMode) {
+        val body = "\"${mode.name}\"".toRequestBody()
+        val request =
+            Request
+                .Builder()
+                .url("http://127.0.0.1:$port/mode")
+                .put(body)
+                .build()
+        OkHttpClient().newCall(request).execute().close()
+    }
+
+    override fun leave() = process.signal(ProcessSignal.TERM)
+
+    override fun close() = process.destroy()
+}
--- a/egretlock-testing/src/main/kotlin/io/egretlock/testing/upstream/UpstreamCommand.kt
+++ b/egretlock-testing/src/main/kotlin/io/egretlock/testing/upstream/UpstreamCommand.kt
@@ -3,9 +3,14 @@
 import io.egretlock.process.FlagParser
 import io.egretlock.process.Setting
 import io.egretlock.process.SettingReader
+import kotlinx.serialization.encodeToString
+import kotlinx.serialization.json.Json
 import kotlin.system.exitProcess
 
-/** The subcommand `upstream`: an upstream stand-in as a process that leaves gracefully on SIGTERM. */
+/**
+ * The subcommand `upstream`: an upstream stand-in as a process that leaves gracefully on SIGTERM. Each start is printed
+ * as one line of JSON, so that it is known even if the process is killed.
+ */
 object UpstreamCommand {
     private const val EXIT_USAGE = 2
     private const val LARGEST_COUNT = 10_000L
@@ -39,7 +44,7 @@
         val listenPort = reader.number(port, 0..LARGEST_PORT).toInt()
         val agent = reader.address(announceAddress)
         if (reader.faults.isNotEmpty()) refuse(reader)
-        val upstream = UpstreamStandIn(traits, listenPort)
+        val upstream = UpstreamStandIn(traits, listenPort) { println(Json.encodeToString(it)) }
         val announcer = UpstreamAnnouncer(upstream.announcement, "http://$agent")
         announcer.start()
         Runtime.getRuntime().addShutdownHook(Thread { leave(upstream, announcer) })
