Use one attempt type from the gate to the home

Cause: the attempt of a task stood twice, in the gate and in the home, with a mapping between them. Ruled out: keeping both (the mapping said nothing). Change: the home uses the gate's TaskAttempt.

--- a/egretlock-core/src/main/kotlin/io/egretlock/core/home/Home.kt
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/home/Home.kt
@@ -1,5 +1,6 @@
 package io.egretlock.core.home
 
+import io.egretlock.core.gate.TaskAttempt
 import io.egretlock.core.job.Job
 import io.egretlock.core.job.JobId
 import io.egretlock.core.job.JobOutcome
@@ -145,12 +146,12 @@
     /** An attempt has not started and never will: the task is queued again unless its job has ended. */
     fun attemptNeverStarts(
         agent: ProcessId,
-        attempt: PlacedAttempt,
+        attempt: TaskAttempt,
         nowMillis: Long,
     ) {
         val known = jobs[attempt.task.job] ?: return
         val progress = known.progress(attempt.task.index)
-        if (progress != TaskProgress.Placed(agent, attempt.number)) return
+        if (progress != TaskProgress.Placed(agent, attempt.attempt)) return
         agents.removed(agent, attempt.task)
         known.unplace(attempt.task.index)
         if (known.outcome == null) dispatchers.taskReturned(known.job.service, attempt.task, nowMillis)
@@ -194,7 +195,7 @@
             effects +=
                 HomeEffect.StartTask(
                     agent = agent,
-                    attempt = PlacedAttempt(task, number),
+                    attempt = TaskAttempt(task, number),
                     team = known.job.team,
                     specification = known.job.tasks[task.index],
                     remainingMillis = known.deadlineAtMillis - nowMillis,
@@ -214,10 +215,10 @@
     private fun attemptOn(
         agent: ProcessId,
         task: TaskId,
-    ): PlacedAttempt? =
+    ): TaskAttempt? =
         (jobs[task.job]?.progress(task.index) as? TaskProgress.Placed)
             ?.takeIf { it.agent == agent }
-            ?.let { PlacedAttempt(task, it.attempt) }
+            ?.let { TaskAttempt(task, it.attempt) }
 
     private fun agentGone(
         agent: ProcessId,
--- a/egretlock-core/src/main/kotlin/io/egretlock/core/home/HomeEffect.kt
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/home/HomeEffect.kt
@@ -1,5 +1,6 @@
 package io.egretlock.core.home
 
+import io.egretlock.core.gate.TaskAttempt
 import io.egretlock.core.job.JobId
 import io.egretlock.core.job.JobOutcome
 import io.egretlock.core.job.ProcessId
@@ -18,7 +19,7 @@
     /** Start one attempt of a task. [remainingMillis] is the time left until the job's deadline. */
     data class StartTask(
         val agent: ProcessId,
-        val attempt: PlacedAttempt,
+        val attempt: TaskAttempt,
         val team: TeamName,
         val specification: TaskSpecification,
         val remainingMillis: Long,
@@ -39,7 +40,7 @@
     /** Ask what became of [attempts]; an attempt that the agent has never seen must not start afterwards. */
     data class ReconcileTasks(
         val agent: ProcessId,
-        val attempts: List<PlacedAttempt>,
+        val attempts: List<TaskAttempt>,
     ) : HomeEffect
 
     /** Tell [agent] how many more credits would be used at once. */
@@ -54,21 +55,3 @@
         val count: Int,
     ) : HomeEffect
 }
-
-/** One placement of a task; [number] counts the placements of that task from 1. */
-data class PlacedAttempt(
-    val task: TaskId,
-    val number: Int,
-)
-
-/** What an agent knows of an attempt after a reconnection. */
-enum class AttemptFate {
-    /** It runs; its outcome will be sent. */
-    RUNNING,
-
-    /** It ended; its outcome is sent again. */
-    FINISHED,
-
-    /** It has not started and never will. */
-    NEVER_STARTS,
-}
--- a/egretlock-core/src/test/kotlin/io/egretlock/core/home/HomeTest.kt
+++ b/egretlock-core/src/test/kotlin/io/egretlock/core/home/HomeTest.kt
@@ -77,7 +77,7 @@
         connect(agent, credits = 1)
         val asked = home.drain(2).filterIsInstance<HomeEffect.ReconcileTasks>().single()
         home.attemptNeverStarts(agent, asked.attempts.single(), 3)
-        assertEquals(listOf(2), starts(3).map { it.attempt.number })
+        assertEquals(listOf(2), starts(3).map { it.attempt.attempt })
     }
 
     @Test
--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/HomeTask.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/HomeTask.kt
@@ -1,9 +1,7 @@
 package io.egretlock.entry
 
-import io.egretlock.core.home.AttemptFate
 import io.egretlock.core.home.Home
 import io.egretlock.core.home.HomeEffect
-import io.egretlock.core.home.PlacedAttempt
 import io.egretlock.core.home.Submission
 import io.egretlock.core.job.JobId
 import io.egretlock.core.job.JobOutcome
@@ -28,7 +26,6 @@
 import io.egretlock.protocol.SettingsUpdate
 import io.egretlock.protocol.Start
 import io.egretlock.protocol.StartRefused
-import io.egretlock.protocol.TaskAttempt
 import io.egretlock.protocol.UpstreamUpdate
 import io.github.oshai.kotlinlogging.KotlinLogging
 import kotlinx.coroutines.CompletableDeferred
@@ -119,12 +116,12 @@
             is CreditGrant -> home.creditsGranted(agent, message.count)
             is CreditRecall -> home.creditsRecalled(agent, message.count)
             is Finished -> finished(agent, message)
-            is StartRefused -> home.attemptNeverStarts(agent, message.attempt.toCore(), nowMillis())
+            is StartRefused -> home.attemptNeverStarts(agent, message.attempt, nowMillis())
             is RevokeReply ->
                 if (!message.started) {
                     home.attemptNeverStarts(
                         agent,
-                        message.attempt.toCore(),
+                        message.attempt,
                         nowMillis(),
                     )
                 }
@@ -155,8 +152,8 @@
         message: ReconcileReply,
     ) {
         message.statuses
-            .filter { it.state.fate() == AttemptFate.NEVER_STARTS }
-            .forEach { home.attemptNeverStarts(agent, it.attempt.toCore(), nowMillis()) }
+            .filter { it.state == AttemptState.NEVER_SEEN || it.state == AttemptState.REVOKED }
+            .forEach { home.attemptNeverStarts(agent, it.attempt, nowMillis()) }
     }
 
     private fun applySettings(stored: StoredTeamSettings) {
@@ -174,14 +171,14 @@
             is HomeEffect.StartTask -> send(effect.agent, start(effect))
             is HomeEffect.AcknowledgeTask -> send(effect.agent, Acknowledge(listOf(effect.task)))
             is HomeEffect.CancelTask -> send(effect.agent, Cancel(effect.task))
-            is HomeEffect.ReconcileTasks -> send(effect.agent, Reconcile(effect.attempts.map { it.toProtocol() }))
+            is HomeEffect.ReconcileTasks -> send(effect.agent, Reconcile(effect.attempts))
             is HomeEffect.RequestCredits -> send(effect.agent, CreditRequest(effect.wanted))
             is HomeEffect.ReturnCredits -> send(effect.agent, CreditReturn(effect.count))
         }
     }
 
     private fun start(effect: HomeEffect.StartTask) =
-        Start(effect.attempt.toProtocol(), effect.team, effect.specification, effect.remainingMillis)
+        Start(effect.attempt, effect.team, effect.specification, effect.remainingMillis)
 
     private fun send(
         agent: ProcessId,
@@ -218,14 +215,3 @@
 }
 
 private fun Message.kind(): String = this::class.simpleName.orEmpty()
-
-private fun TaskAttempt.toCore() = PlacedAttempt(task, attempt)
-
-private fun PlacedAttempt.toProtocol() = TaskAttempt(task, number)
-
-private fun AttemptState.fate(): AttemptFate =
-    when (this) {
-        AttemptState.RUNNING -> AttemptFate.RUNNING
-        AttemptState.FINISHED -> AttemptFate.FINISHED
-        AttemptState.NEVER_SEEN, AttemptState.REVOKED -> AttemptFate.NEVER_STARTS
-    }
