--- a/egretlock-testing/src/main/kotlin/io/egretlock/testing/Main.kt
+++ b/egretlock-testing/src/main/kotlin/io/egretlock/testing/Main.kt
@@ -3,6 +3,7 @@
 import io.egretlock.process.LogFormat
 import io.egretlock.process.LogSetup
 import io.egretlock.testing.store.StoreCommand
+import io.egretlock.testing.upstream.UpstreamCommand
 import kotlin.system.exitProcess
 
 private const val EXIT_USAGE = 2
@@ -12,11 +13,12 @@
     LogSetup.apply(LogFormat.TEXT)
     when (arguments.firstOrNull()) {
         "store" -> StoreCommand.run(arguments.drop(1))
+        "upstream" -> UpstreamCommand.run(arguments.drop(1))
         else -> refuse()
     }
 }
 
 private fun refuse() {
-    System.err.println("usage: egretlock-testing store [flags]")
+    System.err.println("usage: egretlock-testing store|upstream [flags]")
     exitProcess(EXIT_USAGE)
 }
--- /dev/null
+++ b/egretlock-testing/src/main/kotlin/io/egretlock/testing/system/TestSystem.kt
@@ -0,0 +1,124 @@
+package io.egretlock.testing.system
+
+import io.egretlock.core.job.ServiceName
+import io.egretlock.core.job.TeamName
+import io.egretlock.core.settings.ServiceSettings
+import io.egretlock.core.settings.TeamSettings
+import io.egretlock.testing.audit.Submission
+import io.egretlock.testing.audit.VerdictAudit
+import io.egretlock.testing.audit.Violation
+import io.egretlock.testing.client.CallerClient
+import io.egretlock.testing.client.JobReply
+import io.egretlock.testing.client.JobRequest
+import io.egretlock.testing.store.StoreStandIn
+import io.egretlock.testing.upstream.TaskStart
+import kotlinx.serialization.encodeToString
+import kotlinx.serialization.json.Json
+import java.util.concurrent.CompletableFuture
+import java.util.concurrent.ConcurrentLinkedQueue
+
+/**
+ * A whole system of processes on loopback, with a record of every submission and every start. Everything is ended on
+ * [close].
+ */
+class TestSystem internal constructor(
+    private val launcher: ProcessLauncher,
+    val store: StoreStandIn,
+    val entries: List<EntryNode>,
+    val agents: List<AgentNode>,
+    private val teams: List<TeamPermission>,
+) : AutoCloseable {
+    private val caller = CallerClient()
+    private val operator = OperatorClient()
+    private val submissions = ConcurrentLinkedQueue<Submission>()
+
+    /** Every start that any upstream ever saw. */
+    val starts: List<TaskStart>
+        get() = agents.flatMap { it.upstream.starts }
+
+    /** Submits a job at [entry] and records the reply. */
+    fun submit(
+        entry: EntryNode,
+        id: String,
+        job: JobRequest,
+    ): CompletableFuture<JobReply> =
+        caller.submit(entry.callersAddress.toString(), id, job).thenApply { reply ->
+            submissions += Submission(id, job, reply)
+            reply
+        }
+
+    /** Submits any body, without recording it. */
+    fun submitText(
+        entry: EntryNode,
+        id: String,
+        body: String,
+    ): JobReply = caller.submitText(entry.callersAddress.toString(), id, body).join()
+
+    /** Cancels a job and returns the status. */
+    fun cancel(
+        entry: EntryNode,
+        id: String,
+    ): Int = caller.cancel(entry.callersAddress.toString(), id)
+
+    /** Broken promises among all submissions so far, once no upstream sees starts any more. */
+    fun violations(): List<Violation> {
+        var before: Int
+        do {
+            before = starts.size
+            Thread.sleep(SETTLE_MILLIS)
+        } while (starts.size > before)
+        return VerdictAudit(submissions.toList(), starts).violations()
+    }
+
+    /** Waits until every entry is ready and is connected to each of [agents] that has an upstream. */
+    fun awaitConnected(agents: List<AgentNode> = this.agents) {
+        entries.filter { it.process.alive }.forEach { entry ->
+            val names = agents.map { it.name }.toSet()
+            Await.until("${entry.name} is connected to $names", entry.process) {
+                operator.isReady(entry.operatorsAddress) &&
+                    operator.servingAgents(entry.operatorsAddress).containsAll(names)
+            }
+        }
+    }
+
+    /** Waits until [entry] accepts new work. */
+    fun awaitReady(entry: EntryNode) =
+        Await.until("${entry.name} is ready", entry.process) { operator.isReady(entry.operatorsAddress) }
+
+    override fun close() {
+        caller.close()
+        launcher.close()
+        agents.forEach { it.close() }
+        entries.forEach { it.close() }
+        store.close()
+    }
+
+    internal fun start() {
+        entries.forEach { it.start() }
+        agents.forEach { it.start() }
+        agents.forEach { it.upstream.start() }
+        entries.forEach { awaitReady(it) }
+        teams.groupBy({ it.team }, { it.service }).forEach { (team, services) ->
+            store.history.put("/egretlock/settings/$team", settingsText(team, services))
+        }
+        awaitConnected()
+        entries.forEach { awaitSettings(it) }
+    }
+
+    private fun settingsText(
+        team: String,
+        services: List<String>,
+    ): String {
+        val settings = TeamSettings(TeamName(team), services = services.map { ServiceSettings(ServiceName(it)) })
+        return Json.encodeToString(settings)
+    }
+
+    private fun awaitSettings(entry: EntryNode) =
+        Await.until("${entry.name} has the settings of all teams", entry.process) {
+            operator.knownTeams(entry.operatorsAddress).containsAll(teams.map { it.team })
+        }
+
+    private companion object {
+        const val SETTLE_MILLIS = 300L
+    }
+}
