--- /dev/null
+++ b/egretlock-platform/src/main/kotlin/io/egretlock/platform/settings/SettingsWatcher.kt
@@ -0,0 +1,163 @@
+package io.egretlock.platform.settings
+
+import io.egretlock.core.job.TeamName
+import io.egretlock.core.retry.Backoff
+import io.egretlock.core.settings.StoredTeamSettings
+import io.egretlock.platform.KeyValueStore
+import io.egretlock.platform.StoreEntry
+import io.egretlock.platform.StoreException
+import io.egretlock.platform.StoreSnapshot
+import kotlinx.coroutines.channels.ProducerScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.flow.Flow
+import kotlinx.coroutines.flow.channelFlow
+import kotlinx.coroutines.flow.flow
+import kotlinx.coroutines.flow.map
+import kotlinx.coroutines.flow.merge
+import kotlinx.serialization.SerializationException
+import kotlin.random.Random
+
+/**
+ * When a [SettingsWatcher] calls the store.
+ *
+ * @property checkMillis interval at which changes are also read, so that a silent watch is noticed.
+ * @property backoff delays after failed calls.
+ */
+data class SettingsWatcherTiming(
+    val checkMillis: Long = 2_000,
+    val backoff: Backoff = Backoff(firstMillis = 500, largestMillis = 2_000),
+)
+
+/** Learns what a [SettingsWatcher] meets, for logs and metrics. */
+interface SettingsWatcherListener {
+    /** All settings were read and a watch begins. */
+    fun established(revision: Long) = Unit
+
+    /** The watch, or a read, failed; it will be tried again. */
+    fun interrupted(cause: StoreException) = Unit
+
+    /** The store answered from [revision], although [knownRevision] was seen before; the answer is not used. */
+    fun olderState(
+        revision: Long,
+        knownRevision: Long,
+    ) = Unit
+
+    /** The value of [key] can't be read or was deleted; what is in force stays so. */
+    fun unreadable(
+        key: String,
+        cause: String,
+    ) = Unit
+}
+
+/**
+ * Follows the settings of all teams in the store: reads all, watches from there, and begins again with a full read
+ * after every failure or silence.
+ */
+class SettingsWatcher(
+    private val store: KeyValueStore,
+    private val timing: SettingsWatcherTiming = SettingsWatcherTiming(),
+    private val random: Random = Random.Default,
+    private val listener: SettingsWatcherListener = object : SettingsWatcherListener {},
+) {
+    /**
+     * Settings as they change. Never emits a revision of a team that is not above the one emitted before, and never
+     * ends of itself.
+     */
+    fun updates(): Flow<StoredTeamSettings> = channelFlow { Session(this).run() }
+
+    private sealed interface Signal {
+        data class Changed(
+            val entry: StoreEntry,
+        ) : Signal
+
+        data object CheckDue : Signal
+    }
+
+    private inner class Session(
+        private val output: ProducerScope<StoredTeamSettings>,
+    ) {
+        private val emitted = mutableMapOf<TeamName, Long>()
+        private var storeRevision = 0L
+        private var watchedRevision = 0L
+        private var readRevision = 0L
+
+        suspend fun run() {
+            var failures = 0
+            while (true) {
+                try {
+                    take(readAfter(changedAfter = 0))
+                    failures = 0
+                    follow()
+                } catch (failure: StoreException) {
+                    listener.interrupted(failure)
+                }
+                failures++
+                delay(timing.backoff.delayMillis(failures, random))
+            }
+        }
+
+        private suspend fun follow() {
+            watchedRevision = storeRevision
+            readRevision = storeRevision
+            listener.established(storeRevision)
+            val changes = store.watch(SettingsRecord.PREFIX, storeRevision).map { Signal.Changed(it) }
+            merge(changes, checks()).collect { signal ->
+                when (signal) {
+                    is Signal.Changed -> takeChange(signal.entry)
+                    Signal.CheckDue -> check()
+                }
+            }
+        }
+
+        private fun checks(): Flow<Signal> =
+            flow {
+                while (true) {
+                    delay(timing.checkMillis / 2 + random.nextLong(timing.checkMillis / 2 + 1))
+                    emit(Signal.CheckDue)
+                }
+            }
+
+        private suspend fun check() {
+            if (watchedRevision < readRevision) throw StoreException("The watch has gone silent.")
+            val snapshot = readAfter(changedAfter = watchedRevision)
+            readRevision = maxOf(readRevision, snapshot.entries.maxOfOrNull { it.revision } ?: 0)
+            take(snapshot)
+        }
+
+        private suspend fun readAfter(changedAfter: Long): StoreSnapshot {
+            val snapshot = store.read(SettingsRecord.PREFIX, changedAfter)
+            if (snapshot.revision < storeRevision) {
+                listener.olderState(snapshot.revision, storeRevision)
+                throw StoreException("The store answers from revision ${snapshot.revision}, before $storeRevision.")
+            }
+            return snapshot
+        }
+
+        private suspend fun take(snapshot: StoreSnapshot) {
+            storeRevision = snapshot.revision
+            snapshot.entries.sortedBy { it.revision }.forEach { emit(it) }
+        }
+
+        private suspend fun takeChange(entry: StoreEntry) {
+            watchedRevision = maxOf(watchedRevision, entry.revision)
+            storeRevision = maxOf(storeRevision, entry.revision)
+            emit(entry)
+        }
+
+        private suspend fun emit(entry: StoreEntry) {
+            val stored = readable(entry) ?: return
+            val before = emitted[stored.settings.team] ?: 0
+            if (stored.revision <= before) return
+            emitted[stored.settings.team] = stored.revision
+            output.send(stored)
+        }
+
+        private fun readable(entry: StoreEntry): StoredTeamSettings? =
+            try {
+                SettingsRecord.storedSettings(entry)
+            } catch (failure: SerializationException) {
+                listener.unreadable(entry.key, failure.message.orEmpty())
+                null
+            }
+    }
+}
--- a/egretlock-testing/src/main/kotlin/io/egretlock/testing/store/StoreStandIn.kt
+++ b/egretlock-testing/src/main/kotlin/io/egretlock/testing/store/StoreStandIn.kt
@@ -10,6 +10,7 @@
 import io.egretlock.platform.etcd.ResponseOperation
 import io.egretlock.platform.etcd.TransactionRequest
 import io.egretlock.platform.etcd.TransactionResponse
+import io.egretlock.platform.etcd.WatchCreateRequest
 import io.egretlock.platform.etcd.WatchEvent
 import io.egretlock.platform.etcd.WatchMessage
 import io.egretlock.platform.etcd.WatchRequest
@@ -140,7 +141,7 @@
             send(output, WatchResponse(ResponseHeader(history.revision), created = true))
             var sent = request.startRevision - 1
             while (faults.availability != StoreAvailability.REFUSING) {
-                sent = sendChanges(output, request.key, request.rangeEnd, sent, number > silencedBefore.get())
+                sent = sendChanges(output, request, sent, number)
             }
         } catch (_: IOException) {
             // The client has gone.
@@ -149,22 +150,20 @@
 
     private fun sendChanges(
         output: OutputStream,
-        key: String,
-        rangeEnd: String?,
+        request: WatchCreateRequest,
         sent: Long,
-        audible: Boolean,
+        number: Long,
     ): Long {
         val changes =
             history.changesAfter(
-                from = EtcdMessages.decode(key),
-                until = rangeEnd?.let(EtcdMessages::decode),
+                from = EtcdMessages.decode(request.key),
+                until = request.rangeEnd?.let(EtcdMessages::decode),
                 afterRevision = sent,
                 waitMillis = POLL_MILLIS,
             )
         val last = changes.lastOrNull()?.revision ?: sent
         when {
-            !audible -> keepOpen(output)
-            changes.isEmpty() -> keepOpen(output)
+            changes.isEmpty() || number <= silencedBefore.get() -> keepOpen(output)
             else -> send(output, WatchResponse(ResponseHeader(last), events = changes.map(::eventOf)))
         }
         return last
--- /dev/null
+++ b/egretlock-testing/src/test/kotlin/io/egretlock/testing/store/SettingsWatcherTest.kt
@@ -0,0 +1,205 @@
+package io.egretlock.testing.store
+
+import io.egretlock.core.retry.Backoff
+import io.egretlock.core.roster.NodeAddress
+import io.egretlock.core.settings.StoredTeamSettings
+import io.egretlock.core.settings.TeamSettings
+import io.egretlock.core.settings.teamSettings
+import io.egretlock.platform.StoreException
+import io.egretlock.platform.etcd.EtcdStore
+import io.egretlock.platform.etcd.EtcdStoreSettings
+import io.egretlock.platform.settings.SettingsRecord
+import io.egretlock.platform.settings.SettingsWatcher
+import io.egretlock.platform.settings.SettingsWatcherListener
+import io.egretlock.platform.settings.SettingsWatcherTiming
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withTimeout
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import java.util.concurrent.CopyOnWriteArrayList
+
+class SettingsWatcherTest {
+    private val standIn = StoreStandIn(NodeAddress("127.0.0.1", 0))
+    private val store = EtcdStore(EtcdStoreSettings(listOf(standIn.address), callMillis = CALL_MILLIS))
+    private val scope = CoroutineScope(Dispatchers.Default)
+    private val updates = Channel<StoredTeamSettings>(Channel.UNLIMITED)
+    private val told = Told()
+
+    @AfterEach
+    fun closeAll() {
+        scope.cancel()
+        store.close()
+        standIn.close()
+    }
+
+    @Test
+    fun `given stored settings, when watched, then they and all later ones arrive by revision`() {
+        val first = put(weight = 1.0)
+        start()
+        assertEquals(first, next())
+        val later = (2..20).map { put(weight = it.toDouble()) }
+        assertEquals(later.last(), awaitRevision(later.last().revision))
+    }
+
+    @Test
+    fun `given a watch that goes silent, when settings change, then they arrive and a new watch begins`() {
+        start()
+        assertEquals(put(weight = 1.0), next())
+        await("the first watch") { standIn.calls.watches == 1L }
+        standIn.silenceWatches()
+        assertEquals(put(weight = 2.0), next())
+        await("a second watch") { standIn.calls.watches >= 2 }
+        assertEquals(put(weight = 3.0), next())
+    }
+
+    @Test
+    fun `given a store that refuses for a while, when it returns, then changes made meanwhile arrive`() {
+        start()
+        assertEquals(put(weight = 1.0), next())
+        standIn.faults = StoreFaults(availability = StoreAvailability.REFUSING)
+        await("the failure is told") { told.interruptions.isNotEmpty() }
+        val meanwhile = put(weight = 2.0)
+        standIn.faults = StoreFaults()
+        assertEquals(meanwhile, next())
+    }
+
+    @Test
+    fun `given a store that hangs for a while, when it returns, then changes made meanwhile arrive`() {
+        start()
+        assertEquals(put(weight = 1.0), next())
+        standIn.faults = StoreFaults(availability = StoreAvailability.HANGING)
+        await("the failure is told") { told.interruptions.isNotEmpty() }
+        val meanwhile = put(weight = 2.0)
+        standIn.faults = StoreFaults()
+        assertEquals(meanwhile, next())
+    }
+
+    @Test
+    fun `given reads from an older state, when watched, then they are noticed and not followed`() {
+        start()
+        put(weight = 1.0)
+        val newest = put(weight = 2.0)
+        awaitRevision(newest.revision)
+        standIn.faults = StoreFaults(readRevision = newest.revision - 1)
+        await("the older state is told") { told.olderStates.isNotEmpty() }
+        assertEquals(listOf(newest.revision - 1 to newest.revision), told.olderStates.distinct())
+        standIn.faults = StoreFaults()
+        assertEquals(put(weight = 3.0), next())
+    }
+
+    @Test
+    fun `given a store restored from a backup, when it counts the same revisions again, then none is taken`() {
+        start()
+        put(weight = 1.0)
+        val newest = put(weight = 2.0)
+        awaitRevision(newest.revision)
+        standIn.history.restore(newest.revision - 1)
+        put(weight = 9.0)
+        put(weight = 3.0).let { assertEquals(it, next()) }
+    }
+
+    @Test
+    fun `given an unreadable or deleted value, when watched, then it is told and the next good one arrives`() {
+        start()
+        assertEquals(put(weight = 1.0), next())
+        standIn.history.put(KEY, """{"team":"haddad","weight":-1}""")
+        standIn.history.put(KEY, null)
+        assertEquals(put(weight = 2.0), next())
+        assertEquals(setOf(KEY), told.unreadable.toSet())
+    }
+
+    @Test
+    fun `given many watchers and an outage, when the store returns, then calls at most double the steady rate`() {
+        val outcomes = List(WATCHERS) { SettingsWatcher(store, TIMING).updates() }
+        outcomes.forEach { flow -> scope.launch { flow.collect { } } }
+        await("all watch") { standIn.calls.watches >= WATCHERS }
+        val steady = callsWithinWindow()
+        standIn.faults = StoreFaults(availability = StoreAvailability.REFUSING)
+        runBlocking { delay(WINDOW_MILLIS) }
+        standIn.faults = StoreFaults()
+        val afterReturn = callsWithinWindow()
+        assertTrue(afterReturn <= 2 * steady, "$afterReturn calls after the return, $steady in the steady state")
+    }
+
+    private fun callsWithinWindow(): Long {
+        val before = standIn.calls.total
+        runBlocking { delay(WINDOW_MILLIS) }
+        return standIn.calls.total - before
+    }
+
+    private fun start() {
+        scope.launch { SettingsWatcher(store, TIMING, listener = told).updates().collect { updates.send(it) } }
+    }
+
+    private fun put(weight: Double): StoredTeamSettings {
+        val settings: TeamSettings = teamSettings("haddad") { this.weight = weight }
+        return StoredTeamSettings(standIn.history.put(KEY, SettingsRecord(settings, null).encode()), settings)
+    }
+
+    private fun next(): StoredTeamSettings = runBlocking { withTimeout(DEADLINE_MILLIS) { updates.receive() } }
+
+    /** Takes updates up to [revision], checks that they only go up, and returns the last. */
+    private fun awaitRevision(revision: Long): StoredTeamSettings {
+        var last = next()
+        while (last.revision < revision) {
+            val following = next()
+            assertTrue(following.revision > last.revision)
+            last = following
+        }
+        return last
+    }
+
+    private fun await(
+        what: String,
+        condition: () -> Boolean,
+    ) = runBlocking {
+        val deadlineNanos = System.nanoTime() + DEADLINE_MILLIS * NANOS_PER_MILLI
+        while (!condition()) {
+            assertTrue(System.nanoTime() < deadlineNanos, "Not in time: $what.")
+            delay(POLL_MILLIS)
+        }
+    }
+
+    private class Told : SettingsWatcherListener {
+        val interruptions = CopyOnWriteArrayList<StoreException>()
+        val olderStates = CopyOnWriteArrayList<Pair<Long, Long>>()
+        val unreadable = CopyOnWriteArrayList<String>()
+
+        override fun interrupted(cause: StoreException) {
+            interruptions += cause
+        }
+
+        override fun olderState(
+            revision: Long,
+            knownRevision: Long,
+        ) {
+            olderStates += revision to knownRevision
+        }
+
+        override fun unreadable(
+            key: String,
+            cause: String,
+        ) {
+            unreadable += key
+        }
+    }
+
+    private companion object {
+        const val KEY = "/egretlock/settings/haddad"
+        const val CALL_MILLIS = 1_000L
+        const val DEADLINE_MILLIS = 20_000L
+        const val POLL_MILLIS = 10L
+        const val NANOS_PER_MILLI = 1_000_000L
+        const val WATCHERS = 10
+        const val WINDOW_MILLIS = 2_000L
+        val TIMING = SettingsWatcherTiming(checkMillis = 400, backoff = Backoff(firstMillis = 100, largestMillis = 400))
+    }
+}
