Keep requested credits from being recalled at once

Cause: a credit granted to an asking entry counted as idle as soon as it was granted, so the next settlement recalled it for another asking entry; 'given an entry that asks and keeps credits unused' failed with Grant and Recall in one answer. Ruled out: a test at fault (the second failure of that run was one: a used credit had not been spent in the test).

--- a/egretlock-core/src/main/kotlin/io/egretlock/core/gate/SlotLedger.kt
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/gate/SlotLedger.kt
@@ -70,8 +70,9 @@
 
     /** Adds an entry, which asks for an even share until it says what it wants. */
     fun connected(entry: ProcessId): List<CreditAction> {
-        holders[entry] = Holder(entry)
-        holders.getValue(entry).wanted = slots / holders.size
+        val holder = Holder(entry)
+        holders[entry] = holder
+        holder.wanted = slots / holders.size
         return settle()
     }
 
@@ -86,7 +87,7 @@
         entry: ProcessId,
         wanted: Int,
     ): List<CreditAction> {
-        holders[entry]?.wanted = wanted.coerceAtLeast(0)
+        holders[entry]?.ask(wanted.coerceAtLeast(0))
         return settle()
     }
 
@@ -103,7 +104,7 @@
     fun spend(entry: ProcessId): Boolean {
         val holder = holders[entry] ?: return false
         if (holder.granted == 0) return false
-        holder.granted--
+        holder.spend()
         if (running >= slots) return false
         holder.running++
         running++
@@ -130,7 +131,7 @@
     fun relieve(): List<CreditAction> {
         val starving = holders.values.count { it.wanted > 0 && it.holding == 0 }
         val due = starving - holders.values.sumOf { it.recalled }
-        return recall(due, holders.values.toList())
+        return recall(due) { it.unused }
     }
 
     private fun distribute(): List<CreditAction> {
@@ -148,26 +149,24 @@
             ?: holders.values.minWithOrNull(compareBy({ it.granted }, { it.lastTurn }))
 
     private fun grantOne(holder: Holder) {
-        holder.granted++
-        holder.wanted = (holder.wanted - 1).coerceAtLeast(0)
-        holder.lastTurn = ++turn
+        holder.grant(++turn)
     }
 
     private fun recallForRequests(): List<CreditAction> {
         val due = holders.values.sumOf { it.wanted.toLong() } - holders.values.sumOf { it.recalled }
-        return recall(due.coerceIn(0L, slots.toLong()).toInt(), holders.values.filter { it.wanted == 0 })
+        return recall(due.coerceIn(0L, slots.toLong()).toInt()) { it.spare }
     }
 
     private fun recallExcess(): List<CreditAction> =
-        recall(running + granted - slots - holders.values.sumOf { it.recalled }, holders.values.toList())
+        recall(running + granted - slots - holders.values.sumOf { it.recalled }) { it.unused }
 
     private fun recall(
         due: Int,
-        candidates: List<Holder>,
+        available: (Holder) -> Int,
     ): List<CreditAction> {
         val recalls = LinkedHashMap<Holder, Int>()
         repeat(due) {
-            val richest = candidates.filter { it.unused > 0 }.maxByOrNull { it.unused } ?: return@repeat
+            val richest = holders.values.filter { available(it) > 0 }.maxByOrNull(available) ?: return@repeat
             richest.recalled++
             recalls.merge(richest, 1, Int::plus)
         }
@@ -177,13 +176,15 @@
         }
     }
 
-    /** Credits and running tasks of one connected entry. */
+    /** Credits and running tasks of one connected entry. [requested] credits were granted because it asked. */
     private class Holder(
         val entry: ProcessId,
     ) {
         var granted = 0
         var running = 0
         var wanted = 0
+        var asks = false
+        var requested = 0
         var recalled = 0
         var lastTurn = 0L
         val recalls = ArrayDeque<Int>()
@@ -191,17 +192,45 @@
         val holding: Int
             get() = granted + running
 
+        /** Credits that a recall may still take. */
         val unused: Int
             get() = granted - recalled
 
+        /** Credits that nobody asked for. */
+        val spare: Int
+            get() = if (asks) 0 else unused - requested
+
+        fun ask(count: Int) {
+            wanted = count
+            asks = count > 0
+            if (!asks) requested = 0
+        }
+
+        fun grant(turn: Long) {
+            granted++
+            lastTurn = turn
+            if (asks) requested++
+            if (wanted > 0) wanted--
+            if (wanted == 0) asks = false
+        }
+
+        fun spend() {
+            take(1)
+        }
+
         fun giveBack(count: Int) {
             val asked = recalls.removeFirstOrNull() ?: return
             recalled -= asked
-            granted -= count.coerceIn(0, minOf(asked, granted))
+            take(count.coerceIn(0, minOf(asked, granted)))
         }
 
         fun release() {
             if (running > 0) running--
         }
+
+        private fun take(count: Int) {
+            granted -= count
+            requested = (requested - count).coerceAtLeast(0)
+        }
     }
 }
--- /dev/null
+++ b/egretlock-core/src/test/kotlin/io/egretlock/core/gate/SlotLedgerTest.kt
@@ -0,0 +1,149 @@
+package io.egretlock.core.gate
+
+import io.egretlock.core.gate.CreditAction.Grant
+import io.egretlock.core.gate.CreditAction.Recall
+import io.egretlock.core.job.ProcessId
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertFalse
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+
+class SlotLedgerTest {
+    private val ledger = SlotLedger()
+    private val first = ProcessId("entry-1", 1)
+    private val second = ProcessId("entry-2", 1)
+    private val third = ProcessId("entry-3", 1)
+    private val none = emptyList<CreditAction>()
+
+    @Test
+    fun `given two idle entries, when slots appear, then they are spread evenly`() {
+        ledger.connected(first)
+        ledger.connected(second)
+        assertEquals(listOf(Grant(first, 4), Grant(second, 4)), ledger.resize(8))
+    }
+
+    @Test
+    fun `given all credits at one idle entry, when another connects, then half of them are recalled for it`() {
+        ledger.connected(first)
+        ledger.resize(8)
+        assertEquals(listOf(Recall(first, 4)), ledger.connected(second))
+        assertEquals(listOf(Grant(second, 4)), ledger.returned(first, 4))
+    }
+
+    @Test
+    fun `given the share of an entry that has not asked, when another asks, then the share is recalled`() {
+        ledger.resize(4)
+        ledger.connected(first)
+        ledger.connected(second)
+        ledger.returned(first, 2)
+        assertEquals(listOf(Recall(second, 2)), ledger.requested(first, 4))
+    }
+
+    @Test
+    fun `given idle credits elsewhere, when a loaded entry asks, then they are recalled and granted to it`() {
+        ledger.connected(first)
+        ledger.connected(second)
+        ledger.resize(4)
+        assertEquals(listOf(Recall(second, 2)), ledger.requested(first, 2))
+        assertTrue(ledger.spend(second))
+        assertEquals(listOf(Grant(first, 1)), ledger.returned(second, 1))
+    }
+
+    @Test
+    fun `given a credit that was asked for, when another entry asks, then it is not recalled until withdrawn`() {
+        ledger.connected(first)
+        ledger.connected(second)
+        ledger.resize(1)
+        val holder = listOf(first, second).single { ledger.grantedTo(it) == 1 }
+        val asking = listOf(first, second).single { it != holder }
+        assertEquals(listOf(Recall(holder, 1)), ledger.requested(asking, 1))
+        assertEquals(listOf(Grant(asking, 1)), ledger.returned(holder, 1))
+        assertEquals(none, ledger.requested(holder, 1))
+        assertEquals(listOf(Recall(asking, 1)), ledger.requested(asking, 0))
+    }
+
+    @Test
+    fun `given an outstanding recall, when the request is repeated, then nothing is recalled twice`() {
+        ledger.connected(first)
+        ledger.connected(second)
+        ledger.resize(4)
+        ledger.requested(first, 1)
+        assertEquals(none, ledger.requested(first, 1))
+    }
+
+    @Test
+    fun `given one asking entry, when its task ends, then the slot stays with it`() {
+        ledger.connected(first)
+        ledger.resize(1)
+        ledger.requested(first, 5)
+        assertTrue(ledger.spend(first))
+        assertEquals(FreedSlot(credit = true, none), ledger.freed(first))
+    }
+
+    @Test
+    fun `given an entry that holds less and asks, when another's task ends, then the slot goes to it`() {
+        ledger.connected(first)
+        ledger.resize(2)
+        repeat(2) { assertTrue(ledger.spend(first)) }
+        ledger.connected(second)
+        ledger.requested(first, 5)
+        ledger.requested(second, 5)
+        assertEquals(FreedSlot(credit = false, listOf(Grant(second, 1))), ledger.freed(first))
+        assertEquals(FreedSlot(credit = true, none), ledger.freed(first))
+    }
+
+    @Test
+    fun `given more asking entries than slots, when tasks end, then each entry gets a turn`() {
+        val entries = listOf(first, second, third)
+        entries.forEach { ledger.connected(it) }
+        ledger.resize(1)
+        entries.forEach { ledger.requested(it, 9) }
+        var holder = entries.single { ledger.grantedTo(it) == 1 }
+        val turns =
+            List(6) {
+                ledger.spend(holder)
+                ledger.freed(holder)
+                holder = entries.single { ledger.grantedTo(it) == 1 }
+                holder
+            }
+        assertEquals(entries.toSet(), turns.take(3).toSet())
+        assertEquals(turns.take(3), turns.drop(3))
+    }
+
+    @Test
+    fun `given no credit, when a start arrives, then it is not allowed`() {
+        ledger.connected(first)
+        assertFalse(ledger.spend(first))
+    }
+
+    @Test
+    fun `given credits, when the slots go away, then all are recalled and starts on them are not allowed`() {
+        ledger.connected(first)
+        ledger.resize(2)
+        assertEquals(listOf(Recall(first, 2)), ledger.resize(0))
+        assertFalse(ledger.spend(first))
+        assertEquals(none, ledger.returned(first, 1))
+        assertEquals(0, ledger.granted)
+    }
+
+    @Test
+    fun `given credits, when their connection ends, then they go to the other entry`() {
+        ledger.connected(first)
+        ledger.connected(second)
+        ledger.resize(4)
+        assertEquals(listOf(Grant(second, 2)), ledger.disconnected(first))
+    }
+
+    @Test
+    fun `given an entry that asks and keeps credits unused, when another asks in vain, then one is recalled`() {
+        ledger.connected(first)
+        ledger.resize(2)
+        ledger.connected(second)
+        ledger.requested(first, 5)
+        ledger.returned(first, 0)
+        ledger.requested(second, 1)
+        assertEquals(listOf(Recall(first, 1)), ledger.relieve())
+        assertEquals(none, ledger.relieve())
+        assertEquals(listOf(Grant(second, 1)), ledger.returned(first, 1))
+    }
+}
