--- /dev/null
+++ b/egretlock-testing/src/main/kotlin/io/egretlock/testing/system/EntryNode.kt
@@ -0,0 +1,58 @@
+package io.egretlock.testing.system
+
+import io.egretlock.core.roster.NodeAddress
+import io.egretlock.testing.link.FaultyLink
+
+/** An entry in a process of its own; a restart keeps its name and its addresses. */
+class EntryNode internal constructor(
+    val name: String,
+    private val failureDomain: String,
+    private val storeUrl: String,
+    private val timing: SystemTiming,
+    private val launcher: ProcessLauncher,
+    faulty: Boolean,
+) : AutoCloseable {
+    private val linkAddress = freeAddress()
+
+    /** Where callers submit jobs. */
+    val callersAddress: NodeAddress = freeAddress()
+
+    /** Where operators inspect it and edit settings. */
+    val operatorsAddress: NodeAddress = freeAddress()
+
+    /** Proxy in front of its link address; null unless the system was built with faulty links. */
+    val link: FaultyLink? = if (faulty) FaultyLink(linkAddress) else null
+
+    /** Address at which agents and entries dial it. */
+    val dialledAddress: NodeAddress = link?.address ?: linkAddress
+
+    /** The latest process. */
+    lateinit var process: ManagedProcess
+        private set
+
+    /** Starts a process. */
+    fun start() {
+        val flags =
+            listOf(
+                "--name" to name,
+                "--failure-domain" to failureDomain,
+                "--callers-address" to callersAddress,
+                "--operators-address" to operatorsAddress,
+                "--link-address" to linkAddress,
+                "--store-address" to storeUrl,
+                "--heartbeat-millis" to timing.heartbeatMillis,
+                "--silence-millis" to timing.silenceMillis,
+                "--drain-millis" to timing.drainMillis,
+            ) + advertised()
+        val arguments = flags.flatMap { (flag, value) -> listOf(flag, value.toString()) }
+        process = launcher.binary("egretlock-entry", name, listOf("run") + arguments)
+    }
+
+    override fun close() {
+        link?.close()
+    }
+
+    private fun advertised() = if (link == null) emptyList() else listOf("--advertised-link-address" to dialledAddress)
+}
+
+internal fun freeAddress() = NodeAddress("127.0.0.1", ProcessLauncher.freePort())
