Release quotas of tasks whose agent is lost or whose job was cancelled

Cause: a home reported neither the end of tasks that a lost agent held nor the return of a cancelled job's tasks to its dispatcher, so that the team's concurrency stayed used for ever; two new tests of Home failed for it. A task that outlived a reconnection was also counted off an agent that no longer counted it; a new test of AgentPool shows it. Ruled out: releasing in agentLost, because a reconnected agent may still end the task. Change: Home reports both; tasks hold the agent state they were placed on; the learner keeps a bounded number of agents beyond a lost connection; ids of expired jobs are forgotten on withdrawal. Conclusion: both tests of Home failed before and pass now; formatter, linter and the tests of egretlock-core pass.

--- a/egretlock-core/src/main/kotlin/io/egretlock/core/home/Home.kt
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/home/Home.kt
@@ -153,7 +153,7 @@
         if (progress != TaskProgress.Placed(agent, attempt.number)) return
         agents.removed(agent, attempt.task)
         known.unplace(attempt.task.index)
-        if (known.outcome == null) dispatchers.taskReturned(known.job.service, attempt.task, nowMillis)
+        dispatchers.taskReturned(known.job.service, attempt.task, nowMillis)
     }
 
     /** Ends overdue jobs, gives up agents that stayed away, and forgets outcomes past their retention. */
@@ -225,11 +225,11 @@
     ) {
         val verdict = Verdict.MayHaveRun(Reason.AGENT_LOST, "Agent '$agent' was lost while it held a task of the job.")
         dispatchers.agentLost(agent)
-        agents
-            .forget(agent)
-            .mapNotNull { jobs[it.job] }
-            .filter { it.outcome == null }
-            .forEach { end(it, JobOutcome.WithoutAnswer(verdict), nowMillis) }
+        for (task in agents.forget(agent)) {
+            val known = jobs[task.job] ?: continue
+            if (known.outcome == null) end(known, JobOutcome.WithoutAnswer(verdict), nowMillis)
+            dispatchers.taskEnded(known.job.service, task, agent, null, succeeded = false, nowMillis)
+        }
     }
 
     private fun answered(
--- a/egretlock-core/src/main/kotlin/io/egretlock/core/placement/AgentPool.kt
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/placement/AgentPool.kt
@@ -116,15 +116,15 @@
         countRunning(agent, taskClass, 1)
     }
 
-    /** Counts the end of a task on an agent that is still there. */
+    /** Counts the end of a task, unless [agent] has been lost since its start. */
     fun ended(
-        id: ProcessId,
+        agent: AgentState,
         taskClass: TaskClass,
     ) {
-        val agent = agents[id] ?: return
+        if (agents[agent.id] !== agent) return
         change(agent) {
             countRunning(agent, taskClass, -1)
-            agent.slowness = runTimes.slowness(id)
+            agent.slowness = runTimes.slowness(agent.id)
         }
         reviewSlowAgents()
     }
--- a/egretlock-core/src/main/kotlin/io/egretlock/core/placement/Dispatcher.kt
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/placement/Dispatcher.kt
@@ -23,7 +23,7 @@
     /** Makes an agent available, or updates what it announced. */
     fun agentChanged(view: AgentView)
 
-    /** Forgets an agent and its credits. Tasks that were placed on it are settled by the caller. */
+    /** Forgets an agent and its credits. The caller reports the end or return of each task that was placed on it. */
     fun agentLost(agent: ProcessId)
 
     /** Adds [count] credits: permissions to start one task each on [agent]. */
@@ -57,7 +57,10 @@
         nowMillis: Long,
     )
 
-    /** Queues a placed task again, at the head, after its agent confirmed that it never started there. */
+    /**
+     * Queues a placed task again, at the head, after its agent confirmed that it never started there. A task of a job
+     * that was withdrawn is forgotten instead.
+     */
     fun taskReturned(
         task: TaskId,
         nowMillis: Long,
--- a/egretlock-core/src/main/kotlin/io/egretlock/core/placement/FairDispatcher.kt
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/placement/FairDispatcher.kt
@@ -56,7 +56,6 @@
         checks.remove(view.upstream.resources)
         guard.forget(agent)
         pool.lost(agent)
-        runTimes.forget(agent)
     }
 
     override fun creditsGranted(
@@ -99,10 +98,10 @@
         nowMillis: Long,
     ) {
         val ended = release(task) ?: return
-        if (runMillis != null && succeeded && ended.agent in views) learn(ended, runMillis)
+        if (runMillis != null && succeeded && ended.agent.id in views) learn(ended, runMillis)
         if (ended.account.countsForGuard && (succeeded || !ended.job.isWithdrawn)) {
-            guard.record(ended.agent, ended.specification.operation, succeeded, nowMillis)
-            pool.suspend(ended.agent, guard.isSuspended(ended.agent))
+            guard.record(ended.agent.id, ended.specification.operation, succeeded, nowMillis)
+            pool.suspend(ended.agent.id, guard.isSuspended(ended.agent.id))
         }
         pool.ended(ended.agent, ended.taskClass)
         drainRate.finished(ended.workMillis)
@@ -198,7 +197,7 @@
         jobs.taskPlaced(job)
         pool.started(agent, part.taskClass)
         val task = TaskId(job.job.id, index)
-        running[task] = RunningTask(job, account, part.taskClass, agent.id, specification, part.workMillis)
+        running[task] = RunningTask(job, account, part.taskClass, agent, specification, part.workMillis)
         return Placement(task, agent.id)
     }
 
@@ -219,7 +218,7 @@
         runMillis: Long,
     ) {
         val operation = ended.specification.operation
-        runTimes.record(operation, ended.agent, runMillis)
+        runTimes.record(operation, ended.agent.id, runMillis)
         runTimes.typicalMillis(operation)?.let { typical -> parts.classifier.update(operation, typical) }
     }
 
--- a/egretlock-core/src/main/kotlin/io/egretlock/core/placement/RunTimeLearner.kt
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/placement/RunTimeLearner.kt
@@ -13,11 +13,15 @@
  *
  * The logarithm of a run time is modelled as the sum of an operation's level and an agent's level; both follow the
  * residual of each run with exponentially decaying weights. The number of operations kept apart is bounded, because
- * callers choose their names; further ones share one estimate.
+ * callers choose their names; further ones share one estimate. Agents are kept beyond the loss of their connection;
+ * those that ran longest ago are forgotten first.
  */
 class RunTimeLearner : RunTimes {
     private val operations = HashMap<OperationName, OperationEstimate>()
-    private val agents = HashMap<ProcessId, AgentEstimate>()
+    private val agents =
+        object : LinkedHashMap<ProcessId, AgentEstimate>(INITIAL_CAPACITY, LOAD_FACTOR, true) {
+            override fun removeEldestEntry(eldest: Map.Entry<ProcessId, AgentEstimate>): Boolean = size > AGENTS_LIMIT
+        }
     private val overall = OperationEstimate()
 
     override val hasLearned: Boolean
@@ -52,10 +56,6 @@
         agentEstimate.record(residual)
     }
 
-    override fun forget(agent: ProcessId) {
-        agents.remove(agent)
-    }
-
     private fun estimateOf(operation: OperationName): OperationEstimate? {
         val known = operations[operation]
         if (known != null || operations.size >= OPERATIONS_LIMIT) return known
@@ -108,6 +108,9 @@
 
     private companion object {
         const val OPERATIONS_LIMIT = 256
+        const val INITIAL_CAPACITY = 16
+        const val LOAD_FACTOR = 0.75f
+        const val AGENTS_LIMIT = 8_192
         const val OPERATION_WEIGHT = 0.02
         const val AGENT_WEIGHT = 0.1
         const val TAIL_DEVIATIONS = 2.33
--- a/egretlock-core/src/main/kotlin/io/egretlock/core/placement/RunTimes.kt
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/placement/RunTimes.kt
@@ -32,9 +32,6 @@
         agent: ProcessId,
         runMillis: Long,
     )
-
-    /** Drops what is known of an agent that is gone. */
-    fun forget(agent: ProcessId)
 }
 
 /** Run times exactly as declared, on agents of equal speed: the baseline for [RunTimeLearner]. */
@@ -60,8 +57,6 @@
         runMillis: Long,
     ) = Unit
 
-    override fun forget(agent: ProcessId) = Unit
-
     internal companion object {
         const val DEFAULT_RUN_MILLIS = 500L
     }
--- a/egretlock-core/src/main/kotlin/io/egretlock/core/placement/RunningTask.kt
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/placement/RunningTask.kt
@@ -1,6 +1,5 @@
 package io.egretlock.core.placement
 
-import io.egretlock.core.job.ProcessId
 import io.egretlock.core.job.TaskSpecification
 
 /** A task that a dispatcher has placed on [agent] and that has not ended. */
@@ -8,7 +7,7 @@
     val job: QueuedJob,
     val account: TeamAccount,
     val taskClass: TaskClass,
-    val agent: ProcessId,
+    val agent: AgentState,
     val specification: TaskSpecification,
     val workMillis: Double,
 )
--- a/egretlock-core/src/main/kotlin/io/egretlock/core/placement/WaitingJobs.kt
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/placement/WaitingJobs.kt
@@ -7,7 +7,7 @@
 internal class WaitingJobs {
     private val byId = HashMap<JobId, QueuedJob>()
     private val byDeadline = TreeSet(compareBy<QueuedJob> { it.deadlineAtMillis }.thenBy { it.job.id.value })
-    private val expired = ArrayList<JobId>()
+    private val expired = LinkedHashSet<JobId>()
 
     /** Adds a job that has waiting tasks. */
     fun add(job: QueuedJob) {
@@ -17,6 +17,7 @@
 
     /** Removes a job that is withdrawn, also if all its tasks are placed; null if it is unknown. */
     fun remove(id: JobId): QueuedJob? {
+        expired.remove(id)
         val job = byId.remove(id) ?: return null
         byDeadline.remove(job)
         return job
--- a/egretlock-core/src/test/kotlin/io/egretlock/core/home/HomeTest.kt
+++ b/egretlock-core/src/test/kotlin/io/egretlock/core/home/HomeTest.kt
@@ -16,6 +16,7 @@
 import io.egretlock.core.placement.AgentView
 import io.egretlock.core.placement.FirstInFirstOutDispatcher
 import io.egretlock.core.placement.UpstreamAnnouncement
+import io.egretlock.core.placement.fairDispatcher
 import io.egretlock.core.settings.ServiceSettings
 import io.egretlock.core.settings.StoredTeamSettings
 import io.egretlock.core.settings.TeamSettings
@@ -27,7 +28,7 @@
     private val service = ServiceName("beatday-booking")
     private val team = TeamName("haddad")
     private val agent = ProcessId("agent-1", 1)
-    private val home =
+    private var home =
         Home(ServiceDispatchers { FirstInFirstOutDispatcher() }).apply {
             applySettings(StoredTeamSettings(1, TeamSettings(team, services = listOf(ServiceSettings(service)))))
         }
@@ -109,6 +110,34 @@
         assertTrue(verdicts(1).single() is Verdict.MayHaveRun)
     }
 
+    @Test
+    fun `given a quota of one, when the agent that holds the task is lost, then the next job starts`() {
+        useFairDispatcher(concurrency = 1)
+        connect(agent, credits = 1)
+        connect(ProcessId("agent-2", 1), credits = 1)
+        listOf("a", "b").forEach { home.submit(job(it, tasks = 1), remainingMillis = 60_000, nowMillis = 0) }
+        home.agentDisconnected(starts(0).single().agent, 1)
+        home.tick(5_002)
+        assertEquals(listOf("b"), starts(5_002).map { it.attempt.task.job.value })
+    }
+
+    @Test
+    fun `given a quota of one, when a cancelled job's task never starts, then the next job starts`() {
+        useFairDispatcher(concurrency = 1)
+        connect(agent, credits = 2)
+        listOf("a", "b").forEach { home.submit(job(it, tasks = 1), remainingMillis = 60_000, nowMillis = 0) }
+        val attempt = starts(0).single().attempt
+        home.cancel(JobId("a"), 1)
+        home.attemptNeverStarts(agent, attempt, 2)
+        assertEquals(listOf("b"), starts(2).map { it.attempt.task.job.value })
+    }
+
+    private fun useFairDispatcher(concurrency: Int) {
+        val limits = ServiceSettings(service, concurrency = concurrency)
+        home = Home(ServiceDispatchers { fairDispatcher(it) })
+        home.applySettings(StoredTeamSettings(1, TeamSettings(team, services = listOf(limits))))
+    }
+
     private fun connect(
         agent: ProcessId,
         credits: Int,
--- a/egretlock-core/src/test/kotlin/io/egretlock/core/placement/AgentPoolTest.kt
+++ b/egretlock-core/src/test/kotlin/io/egretlock/core/placement/AgentPoolTest.kt
@@ -31,8 +31,9 @@
         withAgent("slow", credits = 2)
         assertNull(startNext())
         pool.probeSlowAgents(0)
+        val probed = checkNotNull(pool.best(TaskClass.SHORT))
         assertEquals(listOf("slow", null), List(2) { startNext() })
-        pool.ended(agentId("slow"), TaskClass.SHORT)
+        pool.ended(probed, TaskClass.SHORT)
         pool.probeSlowAgents(4_999)
         assertNull(startNext())
     }
@@ -46,6 +47,17 @@
         assertEquals(listOf("slow", "slow", null), List(3) { startNext() })
     }
 
+    @Test
+    fun `given an agent that reconnected, when a task from before ends, then it is not counted again`() {
+        withAgent("a", credits = 1)
+        val before = checkNotNull(pool.best(TaskClass.SHORT))
+        startNext()
+        pool.lost(agentId("a"))
+        withAgent("a", credits = 1)
+        pool.ended(before, TaskClass.SHORT)
+        assertEquals(0, pool.best(TaskClass.SHORT)?.running)
+    }
+
     private fun learnSpeeds(vararg runs: Pair<String, Long>) =
         repeat(ROUNDS) { runs.forEach { (agent, runMillis) -> runTimes.record(CHECK, agentId(agent), runMillis) } }
 
