Answer operators with the outcomes of a team's jobs, and dispatch by the fair dispatcher

Cause: operators watch outcomes and see no task; the entry still used the first in first out baseline. Ruled out: counting at the entry that answers (a resubmission would count twice). Change: outcomes are counted at the home once for each claimed job and collected from all entries of the roster, with the settings revision in force per process; the number of entries reaches the dispatchers, so that each enforces its share of the quotas.

--- a/egretlock-core/src/main/kotlin/io/egretlock/core/home/Home.kt
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/home/Home.kt
@@ -9,9 +9,9 @@
 import io.egretlock.core.job.ServiceName
 import io.egretlock.core.job.TaskId
 import io.egretlock.core.job.TaskOutcome
-import io.egretlock.core.job.Verdict
 import io.egretlock.core.placement.Admission
 import io.egretlock.core.placement.AgentView
+import io.egretlock.core.placement.EntryShare
 import io.egretlock.core.settings.StoredTeamSettings
 
 /**
@@ -46,6 +46,9 @@
     /** Applies the settings of a team, also to queued work. */
     fun applySettings(settings: StoredTeamSettings) = dispatchers.applySettings(settings)
 
+    /** The entries that share the limits have changed. */
+    fun entriesChanged(share: EntryShare) = dispatchers.entriesChanged(share)
+
     /** Claims a job or joins the claim that stands. */
     fun submit(
         job: Job,
@@ -55,7 +58,7 @@
         val known = jobs[job.id]
         return when {
             known == null -> claim(job, remainingMillis, nowMillis)
-            known.job != job -> Submission.Ended(JobOutcome.WithoutAnswer(conflict(job)))
+            known.job != job -> Submission.Ended(JobOutcome.WithoutAnswer(HomeVerdicts.conflict(job)))
             else -> known.outcome?.let { Submission.Ended(it) } ?: Submission.Waiting
         }
     }
@@ -69,7 +72,7 @@
         if (known.outcome ==
             null
         ) {
-            end(known, cutShort(known, Reason.CANCELLED, "The caller cancelled the job."), nowMillis)
+            end(known, HomeVerdicts.cutShort(known, Reason.CANCELLED, "The caller cancelled the job."), nowMillis)
         }
         return known.outcome
     }
@@ -139,7 +142,7 @@
         if (known.outcome != null) return
         when (outcome) {
             is TaskOutcome.Succeeded -> answered(known, task, outcome.answer, nowMillis)
-            is TaskOutcome.Ended -> end(known, JobOutcome.WithoutAnswer(ranAndFailed(outcome.verdict)), nowMillis)
+            is TaskOutcome.Ended -> end(known, JobOutcome.WithoutAnswer(HomeVerdicts.ranAndFailed(outcome.verdict)), nowMillis)
         }
     }
 
@@ -163,7 +166,7 @@
         jobs
             .takeOverdue(
                 nowMillis,
-            ).forEach { end(it, cutShort(it, Reason.DEADLINE, "The deadline has passed."), nowMillis) }
+            ).forEach { end(it, HomeVerdicts.cutShort(it, Reason.DEADLINE, "The deadline has passed."), nowMillis) }
         jobs.forgetExpired(nowMillis)
     }
 
@@ -182,6 +185,7 @@
             is Admission.Refused -> {
                 val outcome = JobOutcome.WithoutAnswer(admission.verdict)
                 jobs.ended(claimed, outcome, nowMillis)
+                effects += HomeEffect.JobEnded(job.id, job.team, outcome)
                 Submission.Ended(outcome)
             }
         }
@@ -224,7 +228,7 @@
         agent: ProcessId,
         nowMillis: Long,
     ) {
-        val verdict = Verdict.MayHaveRun(Reason.AGENT_LOST, "Agent '$agent' was lost while it held a task of the job.")
+        val verdict = HomeVerdicts.agentLost(agent)
         dispatchers.agentLost(agent)
         for (task in agents.forget(agent)) {
             val known = jobs[task.job] ?: continue
@@ -251,24 +255,8 @@
         dispatchers.withdraw(known.job.service, known.job.id)
         known.placedTasks.forEach { (task, placed) -> effects += HomeEffect.CancelTask(placed.agent, task) }
         jobs.ended(known, outcome, nowMillis)
-        effects += HomeEffect.JobEnded(known.job.id, outcome)
+        effects += HomeEffect.JobEnded(known.job.id, known.job.team, outcome)
     }
-
-    private fun cutShort(
-        known: HomeJob,
-        reason: Reason,
-        detail: String,
-    ): JobOutcome =
-        JobOutcome.WithoutAnswer(
-            if (known.mayHaveStarted) Verdict.MayHaveRun(reason, detail) else Verdict.NotRun(reason, detail),
-        )
-
-    /** A task that an agent reports as ended was started, so that no verdict on it may claim the contrary. */
-    private fun ranAndFailed(verdict: Verdict): Verdict =
-        if (verdict is Verdict.NotRun) Verdict.MayHaveRun(verdict.reason, verdict.detail) else verdict
-
-    private fun conflict(job: Job) =
-        Verdict.NotRun(Reason.CONFLICTING_BODY, "Job '${job.id}' was submitted before with another body.")
 }
 
 /** Answer of a [Home] to a submission. */
--- a/egretlock-core/src/main/kotlin/io/egretlock/core/home/HomeEffect.kt
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/home/HomeEffect.kt
@@ -10,9 +10,10 @@
 
 /** What a [Home] asks its process to do. */
 sealed interface HomeEffect {
-    /** A job ended; everyone who waits for it is answered. */
+    /** A job of [team] ended; everyone who waits for it is answered. Emitted once for each claimed job. */
     data class JobEnded(
         val job: JobId,
+        val team: TeamName,
         val outcome: JobOutcome,
     ) : HomeEffect
 
--- a/egretlock-core/src/main/kotlin/io/egretlock/core/home/ServiceDispatchers.kt
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/home/ServiceDispatchers.kt
@@ -11,6 +11,7 @@
 import io.egretlock.core.placement.Admission
 import io.egretlock.core.placement.AgentView
 import io.egretlock.core.placement.Dispatcher
+import io.egretlock.core.placement.EntryShare
 import io.egretlock.core.placement.Placement
 import io.egretlock.core.settings.StoredTeamSettings
 
@@ -21,6 +22,7 @@
     private val dispatchers = linkedMapOf<ServiceName, Dispatcher>()
     private val services = mutableMapOf<ProcessId, ServiceName>()
     private val teams = linkedMapOf<TeamName, StoredTeamSettings>()
+    private var entryShare = EntryShare()
 
     internal fun applySettings(settings: StoredTeamSettings) {
         val known = teams[settings.settings.team]
@@ -29,6 +31,11 @@
         dispatchers.values.forEach { it.applySettings(settings) }
     }
 
+    internal fun entriesChanged(share: EntryShare) {
+        entryShare = share
+        dispatchers.values.forEach { it.entriesChanged(share) }
+    }
+
     internal fun agentChanged(view: AgentView) {
         val before = services.put(view.agent, view.upstream.service)
         if (before != null && before != view.upstream.service) dispatchers[before]?.agentLost(view.agent)
@@ -99,7 +106,10 @@
 
     private fun dispatcher(service: ServiceName): Dispatcher =
         dispatchers.getOrPut(service) {
-            create(service).also { created -> teams.values.forEach { created.applySettings(it) } }
+            create(service).also { created ->
+                created.entriesChanged(entryShare)
+                teams.values.forEach { created.applySettings(it) }
+            }
         }
 
     private fun refused(
--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/EntryProcess.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/EntryProcess.kt
@@ -3,7 +3,8 @@
 import io.egretlock.core.home.Home
 import io.egretlock.core.home.ServiceDispatchers
 import io.egretlock.core.job.ProcessId
-import io.egretlock.core.placement.FirstInFirstOutDispatcher
+import io.egretlock.core.placement.EntryShare
+import io.egretlock.core.placement.fairDispatcher
 import io.egretlock.core.roster.EntryMember
 import io.egretlock.core.roster.Roster
 import io.egretlock.core.settings.StoredTeamSettings
@@ -43,14 +44,18 @@
     private val registry = PrometheusRegistry()
     private val drain = Drain()
     private val metrics = EntryMetrics(registry)
-    private val jobs = Home(ServiceDispatchers { FirstInFirstOutDispatcher() })
-    private val home = HomeTask(jobs, metrics, ::monotonicMillis)
+    private val jobs = Home(ServiceDispatchers { service -> fairDispatcher(service) })
+    private val home = HomeTask(self.entry, jobs, metrics, ::monotonicMillis)
     private val peers = PeerConnections(EntryHello(self.entry, self.address), selector, settings.timing, scope)
-    private val storeReader = StoreReader(store, self) { home.send(HomeInput.Settings(it)) }
+    private val storeReader = StoreReader(store, self, ::rosterAdopted) { home.send(HomeInput.Settings(it)) }
     private val router = JobRouter(storeReader, home, peers)
     private val linkServer = LinkServer(self.entry, home, router, knowledge(), scope)
     private val callers = server { config -> JobRoutes(router, drain, metrics, scope).addTo(config) }
-    private val operators = server { config -> OperatorsRoutes(this, registry, settings.operatorToken).addTo(config) }
+    private val operators =
+        server { config ->
+            OperatorsRoutes(this, registry, settings.operatorToken).addTo(config)
+            OutcomeRoutes(router, ::otherMembers, scope).addTo(config)
+        }
     private var listener: LinkListener? = null
 
     override val ready: Boolean
@@ -98,6 +103,19 @@
         return reply.await().liveJobs.size
     }
 
+    private fun rosterAdopted(roster: Roster) {
+        val position = roster.members.indexOf(self)
+        if (position >= 0) home.send(HomeInput.EntriesChanged(EntryShare(position, roster.members.size)))
+    }
+
+    private fun otherMembers(): List<EntryMember> =
+        storeReader
+            .rosters()
+            .lastOrNull()
+            ?.members
+            .orEmpty()
+            .filter { it.entry != self.entry }
+
     private suspend fun tick() {
         while (true) {
             home.send(HomeInput.Tick)
--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/HomeInput.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/HomeInput.kt
@@ -6,10 +6,14 @@
 import io.egretlock.core.job.JobId
 import io.egretlock.core.job.JobOutcome
 import io.egretlock.core.job.ProcessId
+import io.egretlock.core.job.TeamName
+import io.egretlock.core.placement.EntryShare
 import io.egretlock.core.placement.UpstreamAnnouncement
 import io.egretlock.core.settings.StoredTeamSettings
 import io.egretlock.protocol.Link
 import io.egretlock.protocol.Message
+import io.egretlock.protocol.OutcomeReport
+import io.egretlock.protocol.SettingsRevision
 import kotlinx.coroutines.CompletableDeferred
 
 /** Everything that reaches a [HomeTask], in order of arrival. */
@@ -39,6 +43,7 @@
         val agent: ProcessId,
         val failureDomain: FailureDomain,
         val announcement: UpstreamAnnouncement?,
+        val revisions: List<SettingsRevision>,
     ) : HomeInput
 
     /** A message of a connected agent. */
@@ -59,6 +64,17 @@
         val stored: StoredTeamSettings,
     ) : HomeInput
 
+    /** The entries that share the limits have changed. */
+    data class EntriesChanged(
+        val share: EntryShare,
+    ) : HomeInput
+
+    /** How did the jobs of [team] end here, and which settings are in force? */
+    data class Outcomes(
+        val team: TeamName,
+        val reply: CompletableDeferred<OutcomeReport>,
+    ) : HomeInput
+
     /** Time has passed. */
     data object Tick : HomeInput
 
--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/HomeTask.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/HomeTask.kt
@@ -20,9 +20,13 @@
 import io.egretlock.protocol.Finished
 import io.egretlock.protocol.Link
 import io.egretlock.protocol.Message
+import io.egretlock.protocol.OutcomeReport
+import io.egretlock.protocol.ProcessRevision
 import io.egretlock.protocol.Reconcile
 import io.egretlock.protocol.ReconcileReply
 import io.egretlock.protocol.RevokeReply
+import io.egretlock.protocol.SettingsApplied
+import io.egretlock.protocol.SettingsRevision
 import io.egretlock.protocol.SettingsUpdate
 import io.egretlock.protocol.Start
 import io.egretlock.protocol.StartRefused
@@ -40,6 +44,7 @@
  * @property nowMillis monotonic clock in milliseconds.
  */
 internal class HomeTask(
+    private val self: ProcessId,
     private val home: Home,
     private val metrics: EntryMetrics,
     private val nowMillis: () -> Long,
@@ -48,6 +53,7 @@
     private val agents = linkedMapOf<ProcessId, ConnectedAgent>()
     private val waiters = mutableMapOf<JobId, MutableList<CompletableDeferred<JobOutcome>>>()
     private val settings = linkedMapOf<TeamName, StoredTeamSettings>()
+    private val counts = OutcomeCounts()
 
     /** Queues an input. */
     fun send(input: HomeInput) {
@@ -71,6 +77,8 @@
             is HomeInput.FromAgent -> if (isCurrent(input.link, input.agent)) fromAgent(input.agent, input.message)
             is HomeInput.AgentClosed -> agentClosed(input)
             is HomeInput.Settings -> applySettings(input.stored)
+            is HomeInput.EntriesChanged -> home.entriesChanged(input.share)
+            is HomeInput.Outcomes -> input.reply.complete(outcomes(input.team))
             is HomeInput.Tick -> home.tick(nowMillis())
             is HomeInput.Dump -> input.reply.complete(dump())
         }
@@ -126,6 +134,7 @@
                     )
                 }
             is ReconcileReply -> reconciled(agent, message)
+            is SettingsApplied -> agents.getValue(agent).applied(message.revisions)
             else -> Unit
         }
     }
@@ -167,7 +176,7 @@
 
     private fun carryOut(effect: HomeEffect) {
         when (effect) {
-            is HomeEffect.JobEnded -> waiters.remove(effect.job)?.forEach { it.complete(effect.outcome) }
+            is HomeEffect.JobEnded -> jobEnded(effect)
             is HomeEffect.StartTask -> send(effect.agent, start(effect))
             is HomeEffect.AcknowledgeTask -> send(effect.agent, Acknowledge(listOf(effect.task)))
             is HomeEffect.CancelTask -> send(effect.agent, Cancel(effect.task))
@@ -177,6 +186,20 @@
         }
     }
 
+    private fun jobEnded(effect: HomeEffect.JobEnded) {
+        counts.add(effect.team, effect.outcome)
+        waiters.remove(effect.job)?.forEach { it.complete(effect.outcome) }
+    }
+
+    private fun outcomes(team: TeamName) =
+        OutcomeReport(
+            entry = self,
+            outcomes = counts.of(team),
+            revisions =
+                listOf(ProcessRevision(self, settings[team]?.revision ?: 0)) +
+                    agents.map { (agent, connected) -> ProcessRevision(agent, connected.revisions[team] ?: 0) },
+        )
+
     private fun start(effect: HomeEffect.StartTask) =
         Start(effect.attempt, effect.team, effect.specification, effect.remainingMillis)
 
@@ -211,6 +234,15 @@
         var view: AgentView?,
     ) {
         val link = opened.link
+        val revisions = mutableMapOf<TeamName, Long>()
+
+        init {
+            applied(opened.revisions)
+        }
+
+        fun applied(applied: List<SettingsRevision>) {
+            applied.forEach { revisions[it.team] = it.revision }
+        }
     }
 }
 
--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/JobRouter.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/JobRouter.kt
@@ -5,6 +5,7 @@
 import io.egretlock.core.job.JobId
 import io.egretlock.core.job.JobOutcome
 import io.egretlock.core.job.Reason
+import io.egretlock.core.job.TeamName
 import io.egretlock.core.job.Verdict
 import io.egretlock.core.roster.EntryMember
 import io.egretlock.protocol.ForwardCancel
@@ -13,6 +14,9 @@
 import io.egretlock.protocol.ForwardReply
 import io.egretlock.protocol.ForwardStateReply
 import io.egretlock.protocol.JobState
+import io.egretlock.protocol.OutcomeReport
+import io.egretlock.protocol.OutcomesReply
+import io.egretlock.protocol.OutcomesRequest
 import kotlinx.coroutines.CompletableDeferred
 
 /** Brings each request about a job to the job's home, here or at another entry. */
@@ -91,6 +95,20 @@
         }
     }
 
+    /** How the jobs of [team] ended at this entry. */
+    suspend fun outcomesHere(team: TeamName): OutcomeReport {
+        val reply = CompletableDeferred<OutcomeReport>()
+        home.send(HomeInput.Outcomes(team, reply))
+        return reply.await()
+    }
+
+    /** How the jobs of [team] ended at [member]; null if that entry does not answer. */
+    suspend fun outcomesAt(
+        member: EntryMember,
+        team: TeamName,
+    ): OutcomeReport? =
+        (peers.call(member, CALL_MILLIS) { request -> OutcomesRequest(request, team) } as? OutcomesReply)?.report
+
     private suspend fun submitElsewhere(
         member: EntryMember,
         job: Job,
--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/LinkServer.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/LinkServer.kt
@@ -15,6 +15,8 @@
 import io.egretlock.protocol.ForwardStateReply
 import io.egretlock.protocol.Link
 import io.egretlock.protocol.Message
+import io.egretlock.protocol.OutcomesReply
+import io.egretlock.protocol.OutcomesRequest
 import io.egretlock.protocol.Welcome
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.launch
@@ -42,11 +44,22 @@
         hello: AgentHello,
     ) {
         link.send(welcome())
-        home.send(HomeInput.AgentOpened(link, hello.agent, hello.failureDomain, hello.announcement))
+        home.send(opened(link, hello))
         for (message in link.incoming) home.send(HomeInput.FromAgent(link, hello.agent, message))
         home.send(HomeInput.AgentClosed(link, hello.agent))
     }
 
+    private fun opened(
+        link: Link,
+        hello: AgentHello,
+    ) = HomeInput.AgentOpened(
+        link = link,
+        agent = hello.agent,
+        failureDomain = hello.failureDomain,
+        announcement = hello.announcement,
+        revisions = hello.settingsRevisions,
+    )
+
     private suspend fun servePeer(link: Link) {
         link.send(welcome())
         for (message in link.incoming) scope.launch { answer(link, message) }
@@ -63,6 +76,7 @@
                 link.send(ForwardReply(message.request, router.submitHere(message.job, message.remainingMillis)))
             is ForwardCancel -> link.send(ForwardReply(message.request, router.cancelHere(message.job) ?: unknownJob()))
             is ForwardQuery -> link.send(ForwardStateReply(message.request, router.stateHere(message.job)))
+            is OutcomesRequest -> link.send(OutcomesReply(message.request, router.outcomesHere(message.team)))
             else -> Unit
         }
     }
--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/PeerConnection.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/PeerConnection.kt
@@ -3,11 +3,10 @@
 import io.egretlock.core.roster.EntryMember
 import io.egretlock.process.event
 import io.egretlock.protocol.EntryHello
-import io.egretlock.protocol.ForwardReply
-import io.egretlock.protocol.ForwardStateReply
 import io.egretlock.protocol.Link
 import io.egretlock.protocol.LinkTiming
 import io.egretlock.protocol.Message
+import io.egretlock.protocol.ReplyMessage
 import io.github.oshai.kotlinlogging.KotlinLogging
 import io.ktor.network.selector.SelectorManager
 import kotlinx.coroutines.CancellationException
@@ -139,8 +138,7 @@
 
     private fun received(message: Message) {
         when (message) {
-            is ForwardReply -> pending.remove(message.request)?.reply?.complete(message)
-            is ForwardStateReply -> pending.remove(message.request)?.reply?.complete(message)
+            is ReplyMessage -> pending.remove(message.request)?.reply?.complete(message)
             else -> Unit
         }
     }
--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/StoreReader.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/StoreReader.kt
@@ -25,6 +25,7 @@
 internal class StoreReader(
     private val store: KeyValueStore,
     private val self: EntryMember,
+    private val rosterAdopted: (Roster) -> Unit,
     private val settingsChanged: (StoredTeamSettings) -> Unit,
 ) : JobLocator {
     @Volatile
@@ -98,6 +99,7 @@
     private fun adopt(next: Roster) {
         if (roster?.version == next.version) return
         roster = next
+        rosterAdopted(next)
         logger.event(EntryEvent.ROSTER_ADOPTED, "version" to next.version, "members" to next.members.size)
     }
 
--- a/egretlock-protocol/src/main/kotlin/io/egretlock/protocol/Message.kt
+++ b/egretlock-protocol/src/main/kotlin/io/egretlock/protocol/Message.kt
@@ -20,6 +20,13 @@
 @Serializable
 sealed interface Message
 
+/** A message that answers the one with the same [request] number on the same connection, or on an earlier one. */
+@Serializable
+sealed interface ReplyMessage : Message {
+    /** Number that the asking entry chose. */
+    val request: Long
+}
+
 /** First message of an agent on each connection it dials. [announcement] is null while no upstream is announced. */
 @Serializable
 @SerialName("agent-hello")
@@ -242,9 +249,9 @@
 @Serializable
 @SerialName("forward-reply")
 data class ForwardReply(
-    val request: Long,
+    override val request: Long,
     val outcome: JobOutcome,
-) : Message
+) : ReplyMessage
 
 /** State of a job at its home. */
 @Serializable
@@ -254,6 +261,6 @@
 @Serializable
 @SerialName("forward-state-reply")
 data class ForwardStateReply(
-    val request: Long,
+    override val request: Long,
     val state: JobState,
-) : Message
+) : ReplyMessage
