--- a/egretlock-testing/src/main/kotlin/io/egretlock/testing/Main.kt
+++ b/egretlock-testing/src/main/kotlin/io/egretlock/testing/Main.kt
@@ -2,16 +2,18 @@
 
 import io.egretlock.process.LogFormat
 import io.egretlock.process.LogSetup
+import io.egretlock.testing.demo.Demo
 import io.egretlock.testing.store.StoreCommand
 import io.egretlock.testing.upstream.UpstreamCommand
 import kotlin.system.exitProcess
 
 private const val EXIT_USAGE = 2
 
-/** Runs one stand-in as a process of its own. */
+/** Runs the demonstration, or one stand-in as a process of its own. */
 fun main(arguments: Array<String>) {
     LogSetup.apply(LogFormat.TEXT)
     when (arguments.firstOrNull()) {
+        "demo" -> Demo.run()
         "store" -> StoreCommand.run(arguments.drop(1))
         "upstream" -> UpstreamCommand.run(arguments.drop(1))
         else -> refuse()
@@ -19,6 +21,6 @@
 }
 
 private fun refuse() {
-    System.err.println("usage: egretlock-testing store|upstream [flags]")
+    System.err.println("usage: egretlock-testing demo|store|upstream [flags]")
     exitProcess(EXIT_USAGE)
 }
--- a/egretlock-testing/src/main/kotlin/io/egretlock/testing/system/TestSystem.kt
+++ b/egretlock-testing/src/main/kotlin/io/egretlock/testing/system/TestSystem.kt
@@ -85,6 +85,16 @@
     fun awaitReady(entry: EntryNode) =
         Await.until("${entry.name} is ready", entry.process) { operator.isReady(entry.operatorsAddress) }
 
+    /** Lets upstreams leave, then stops agents and entries by SIGTERM. Returns the exit code by process name. */
+    fun stopGracefully(): Map<String, Int> {
+        agents.forEach { it.upstream.leave() }
+        val processes = agents.map { it.process } + entries.map { it.process }
+        return processes.associate { process ->
+            process.signal(ProcessSignal.TERM)
+            process.name to process.awaitExit()
+        }
+    }
+
     override fun close() {
         caller.close()
         launcher.close()
