--- a/egretlock-testing/src/main/kotlin/io/egretlock/testing/demo/Demo.kt
+++ b/egretlock-testing/src/main/kotlin/io/egretlock/testing/demo/Demo.kt
@@ -20,6 +20,9 @@
     private const val BOOKING = "beatday-booking"
     private const val NET_CHECK = "net-check"
     private const val DEADLINE_MILLIS = 10_000L
+    private const val BOOKING_RUN_MILLIS = 120
+    private const val TEAR_CHECK_RUN_MILLIS = 80
+    private const val PHOTOS = 4
     private const val EXIT_FAILURE = 1
 
     /** Runs the demonstration and ends this process: 0 if both jobs were answered and every process stopped cleanly. */
@@ -62,7 +65,7 @@
                 val payload =
                     buildJsonObject {
                         put("household", "Rainbow Street 14")
-                        put("runMillis", 120)
+                        put("runMillis", BOOKING_RUN_MILLIS)
                     }
                 JobTask(operation, idempotent = operation == "check-slot", payload = payload)
             }
@@ -71,11 +74,11 @@
 
     private fun netCheckJob(): JobRequest {
         val tasks =
-            (1..4).map { photo ->
+            (1..PHOTOS).map { photo ->
                 val payload =
                     buildJsonObject {
                         put("photo", "panel-$photo.jpg")
-                        put("runMillis", 80)
+                        put("runMillis", TEAR_CHECK_RUN_MILLIS)
                     }
                 JobTask("tear-check", idempotent = true, payload = payload)
             }
