--- a/egretlock-core/src/main/kotlin/io/egretlock/core/home/Home.kt
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/home/Home.kt
@@ -142,7 +142,12 @@
         if (known.outcome != null) return
         when (outcome) {
             is TaskOutcome.Succeeded -> answered(known, task, outcome.answer, nowMillis)
-            is TaskOutcome.Ended -> end(known, JobOutcome.WithoutAnswer(HomeVerdicts.ranAndFailed(outcome.verdict)), nowMillis)
+            is TaskOutcome.Ended ->
+                end(
+                    known,
+                    JobOutcome.WithoutAnswer(HomeVerdicts.ranAndFailed(outcome.verdict)),
+                    nowMillis,
+                )
         }
     }
 
