Ask a few agents for credits, and acknowledge in batches

Cause: each change between no backlog and some sent a request to every agent of the service: 500 messages per flip for 500 agents, and one scan of all agents per input. Ruled out: telling the need with each start (an entry without credits starts nothing that could carry it); never withdrawing (agents keep requested credits from being recalled). Change: requests cover the need and no more, of at least 4 agents at a time, further ones at each tick; they end with the credits they bring. Answers that arrive together are acknowledged in one message per agent. Conclusion: the messages now depend on the backlog and not on the number of agents.

--- a/egretlock-core/src/main/kotlin/io/egretlock/core/home/Home.kt
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/home/Home.kt
@@ -6,7 +6,6 @@
 import io.egretlock.core.job.JobOutcome
 import io.egretlock.core.job.ProcessId
 import io.egretlock.core.job.Reason
-import io.egretlock.core.job.ServiceName
 import io.egretlock.core.job.TaskId
 import io.egretlock.core.job.TaskOutcome
 import io.egretlock.core.placement.Admission
@@ -39,7 +38,7 @@
     /** Effects of the calls since the last drain, in order. */
     fun drain(nowMillis: Long): List<HomeEffect> {
         startTasks(nowMillis)
-        requestCredits()
+        effects += dispatchers.creditRequests()
         return effects.toList().also { effects.clear() }
     }
 
@@ -97,7 +96,7 @@
         nowMillis: Long,
     ) {
         agents.earlierIncarnation(agent)?.let { agentGone(it, nowMillis) }
-        val reconnected = agents.connected(agent, view)
+        val reconnected = agents.connected(agent)
         if (view == null) dispatchers.agentLost(agent) else dispatchers.agentChanged(view)
         if (reconnected) reconcile(agent)
     }
@@ -173,6 +172,7 @@
                 nowMillis,
             ).forEach { end(it, HomeVerdicts.cutShort(it, Reason.DEADLINE, "The deadline has passed."), nowMillis) }
         jobs.forgetExpired(nowMillis)
+        effects += dispatchers.tickCreditRequests()
     }
 
     /** Jobs that have not ended, in order of arrival. */
@@ -212,10 +212,6 @@
         }
     }
 
-    private fun requestCredits() {
-        effects += agents.changedWants { service: ServiceName -> dispatchers.creditsWanted(service) }
-    }
-
     private fun reconcile(agent: ProcessId) {
         val attempts = agents.tasksOn(agent).mapNotNull { attemptOn(agent, it) }
         if (attempts.isNotEmpty()) effects += HomeEffect.ReconcileTasks(agent, attempts)
--- a/egretlock-core/src/main/kotlin/io/egretlock/core/home/ServiceDispatchers.kt
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/home/ServiceDispatchers.kt
@@ -22,6 +22,7 @@
     private val dispatchers = linkedMapOf<ServiceName, Dispatcher>()
     private val services = mutableMapOf<ProcessId, ServiceName>()
     private val teams = linkedMapOf<TeamName, StoredTeamSettings>()
+    private val requests = CreditRequests()
     private var entryShare = EntryShare()
 
     internal fun applySettings(settings: StoredTeamSettings) {
@@ -40,9 +41,11 @@
         val before = services.put(view.agent, view.upstream.service)
         if (before != null && before != view.upstream.service) dispatchers[before]?.agentLost(view.agent)
         dispatcher(view.upstream.service).agentChanged(view)
+        requests.connected(view.agent, view.upstream.service, view.upstream.slots)
     }
 
     internal fun agentLost(agent: ProcessId) {
+        requests.disconnected(agent)
         services.remove(agent)?.let { dispatchers[it]?.agentLost(agent) }
     }
 
@@ -50,6 +53,7 @@
         agent: ProcessId,
         count: Int,
     ) {
+        requests.granted(agent, count)
         of(agent)?.creditsGranted(agent, count)
     }
 
@@ -100,7 +104,13 @@
         dispatchers[service]?.withdraw(job)
     }
 
-    internal fun creditsWanted(service: ServiceName): Int = dispatchers[service]?.creditsWanted() ?: 0
+    /** Requests for the credits that are missing now. */
+    internal fun creditRequests(): List<HomeEffect.RequestCredits> = requests.requests(::creditsWanted)
+
+    /** Withdraws requests that are not needed any more. */
+    internal fun tickCreditRequests(): List<HomeEffect.RequestCredits> = requests.tick(::creditsWanted)
+
+    private fun creditsWanted(service: ServiceName): Int = dispatchers[service]?.creditsWanted() ?: 0
 
     private fun of(agent: ProcessId): Dispatcher? = services[agent]?.let { dispatchers[it] }
 
--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/HomeTask.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/HomeTask.kt
@@ -6,6 +6,7 @@
 import io.egretlock.core.job.JobId
 import io.egretlock.core.job.JobOutcome
 import io.egretlock.core.job.ProcessId
+import io.egretlock.core.job.TaskId
 import io.egretlock.core.job.TeamName
 import io.egretlock.core.placement.AgentView
 import io.egretlock.core.settings.StoredTeamSettings
@@ -54,6 +55,7 @@
     private val waiters = mutableMapOf<JobId, MutableList<CompletableDeferred<JobOutcome>>>()
     private val settings = linkedMapOf<TeamName, StoredTeamSettings>()
     private val counts = OutcomeCounts()
+    private val acknowledged = linkedMapOf<ProcessId, MutableList<TaskId>>()
 
     /** Queues an input. */
     fun send(input: HomeInput) {
@@ -64,7 +66,16 @@
     suspend fun run() {
         for (input in inputs) {
             handle(input)
-            home.drain(nowMillis()).forEach(::carryOut)
+            handleWaiting()
+            carryOut(home.drain(nowMillis()))
+        }
+    }
+
+    /** Handles what has arrived meanwhile, so that acknowledgements for one agent share a message. */
+    private fun handleWaiting() {
+        repeat(MOST_INPUTS_AT_ONCE) {
+            val input = inputs.tryReceive().getOrNull() ?: return
+            handle(input)
         }
     }
 
@@ -174,11 +185,17 @@
         logger.event(EntryEvent.SETTINGS_APPLIED, "team" to stored.settings.team, "revision" to stored.revision)
     }
 
+    private fun carryOut(effects: List<HomeEffect>) {
+        effects.forEach(::carryOut)
+        acknowledged.forEach { (agent, tasks) -> send(agent, Acknowledge(tasks)) }
+        acknowledged.clear()
+    }
+
     private fun carryOut(effect: HomeEffect) {
         when (effect) {
             is HomeEffect.JobEnded -> jobEnded(effect)
             is HomeEffect.StartTask -> send(effect.agent, start(effect))
-            is HomeEffect.AcknowledgeTask -> send(effect.agent, Acknowledge(listOf(effect.task)))
+            is HomeEffect.AcknowledgeTask -> acknowledged.getOrPut(effect.agent) { mutableListOf() } += effect.task
             is HomeEffect.CancelTask -> send(effect.agent, Cancel(effect.task))
             is HomeEffect.ReconcileTasks -> send(effect.agent, Reconcile(effect.attempts))
             is HomeEffect.RequestCredits -> send(effect.agent, CreditRequest(effect.wanted))
@@ -229,6 +246,10 @@
             settings = settings.values.toList(),
         )
 
+    private companion object {
+        const val MOST_INPUTS_AT_ONCE = 64
+    }
+
     private class ConnectedAgent(
         val opened: HomeInput.AgentOpened,
         var view: AgentView?,
