Model the claim of a job id and the start of a task, with a mutant for each safeguard

Ruled out: the design's authority by monotonic timers with a margin of two clock differences. An id's creation time is fixed, so a horizon on creation times replaces timer, expiry and half of the margin.

--- /dev/null
+++ b/egretlock-core/src/test/kotlin/io/egretlock/core/model/ModelTest.kt
@@ -0,0 +1,43 @@
+package io.egretlock.core.model
+
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.CsvSource
+import org.junit.jupiter.params.provider.EnumSource
+
+class ModelTest {
+    private val checker = ModelChecker()
+
+    @ParameterizedTest
+    @EnumSource(Model::class)
+    fun `given all safeguards, when checked exhaustively, then every invariant holds`(model: Model) {
+        val output = checker.check(model)
+        assertTrue("No error has been found" in output, output)
+    }
+
+    @ParameterizedTest
+    @CsvSource(
+        "CLAIM, CheckHorizon, FALSE, SettledOnce",
+        "CLAIM, CheckGain, FALSE, SettledOnce",
+        "CLAIM, Margin, 0, SettledOnce",
+        "BOOTSTRAP, HoldPromises, FALSE, SettledOnce",
+        "BOOTSTRAP, DistrustReadBack, FALSE, SettledOnce",
+        "BOOTSTRAP, HoldBootstrap, FALSE, SettledOnce",
+        "HANDOVER, OneHeir, FALSE, SettledOnce",
+        "TASK_GATE, TombstoneOnRevoke, FALSE, StartedOnce",
+        "TASK_GATE, TombstoneOnRevoke, FALSE, NotRunIsTrue",
+        "TASK_GATE, RecordBeforeCall, FALSE, StartedOnce",
+        "TASK_GATE, KeepAfterAcknowledge, FALSE, StartedOnce",
+        "TASK_GATE, FailOnLostAgent, FALSE, StartedOnce",
+        "TASK_GATE, MatchAnswers, FALSE, AnswerIsWhole",
+    )
+    fun `given a safeguard left out, when checked, then a counterexample is found`(
+        model: Model,
+        safeguard: String,
+        value: String,
+        invariant: String,
+    ) {
+        val output = checker.check(model, overrides = mapOf(safeguard to value), invariants = invariant)
+        assertTrue("Invariant $invariant is violated" in output, output)
+    }
+}
