--- a/egretlock-agent/src/main/kotlin/io/egretlock/agent/HttpUpstreamClient.kt
+++ b/egretlock-agent/src/main/kotlin/io/egretlock/agent/HttpUpstreamClient.kt
@@ -27,6 +27,7 @@
 import okhttp3.RequestBody.Companion.toRequestBody
 import okhttp3.Response
 import java.io.IOException
+import java.io.InterruptedIOException
 import java.net.InetSocketAddress
 import java.net.Socket
 import java.util.concurrent.ExecutorService
@@ -140,7 +141,7 @@
         private fun endWithoutAnswer(failure: IOException): CallEnd =
             if (tracker.mayHaveSent) {
                 val detail = "No answer from the upstream: ${failure.javaClass.simpleName}."
-                CallEnd.Ended(TaskOutcome.Ended(Verdict.MayHaveRun(Reason.UPSTREAM_LOST, detail)))
+                CallEnd.Ended(TaskOutcome.Ended(Verdict.MayHaveRun(reasonOf(failure), detail)))
             } else {
                 CallEnd.NotStarted("No connection to the upstream: ${failure.javaClass.simpleName}.")
             }
@@ -223,6 +224,10 @@
                 if (isJson(answer)) TaskOutcome.Succeeded(answer) else failed("The upstream's answer is not JSON.")
             }
 
+        /** OkHttp interrupts a call whose timeout, the job's remaining time, has passed. */
+        private fun reasonOf(failure: IOException): Reason =
+            if (failure is InterruptedIOException) Reason.DEADLINE else Reason.UPSTREAM_LOST
+
         private fun failed(detail: String): TaskOutcome =
             TaskOutcome.Ended(Verdict.Failed(Reason.UPSTREAM_FAILED, detail))
 
--- a/egretlock-agent/src/test/kotlin/io/egretlock/agent/AgentStandUp.kt
+++ b/egretlock-agent/src/test/kotlin/io/egretlock/agent/AgentStandUp.kt
@@ -1,6 +1,7 @@
 package io.egretlock.agent
 
 import ch.qos.logback.classic.Level
+import io.egretlock.core.gate.TaskAttempt
 import io.egretlock.core.job.FailureDomain
 import io.egretlock.core.job.JobId
 import io.egretlock.core.job.OperationName
@@ -13,7 +14,6 @@
 import io.egretlock.process.LogSetup
 import io.egretlock.protocol.LinkTiming
 import io.egretlock.protocol.Start
-import io.egretlock.protocol.TaskAttempt
 import kotlinx.coroutines.runBlocking
 import kotlinx.serialization.encodeToString
 import kotlinx.serialization.json.Json
--- a/egretlock-core/src/test/kotlin/io/egretlock/core/settings/SettingsTableTest.kt
+++ b/egretlock-core/src/test/kotlin/io/egretlock/core/settings/SettingsTableTest.kt
@@ -2,9 +2,9 @@
 
 import io.egretlock.core.job.TeamName
 import org.jetbrains.lincheck.datastructures.IntGen
-import org.jetbrains.lincheck.datastructures.StressOptions
 import org.jetbrains.lincheck.datastructures.Operation
 import org.jetbrains.lincheck.datastructures.Param
+import org.jetbrains.lincheck.datastructures.StressOptions
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Test
 
--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/EntryProcess.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/EntryProcess.kt
@@ -39,7 +39,7 @@
 ) : Inspectable {
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
     private val selector = SelectorManager(Dispatchers.IO)
-    private val self = EntryMember(ProcessId(settings.name, System.currentTimeMillis()), settings.linkAddress)
+    private val self = EntryMember(ProcessId(settings.name, System.currentTimeMillis()), settings.advertisedLinkAddress)
     private val registry = PrometheusRegistry()
     private val drain = Drain()
     private val metrics = EntryMetrics(registry)
--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/EntrySettings.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/EntrySettings.kt
@@ -12,7 +12,8 @@
  *
  * @property callersAddress where callers submit jobs.
  * @property operatorsAddress where operators edit settings and inspect the process.
- * @property linkAddress where agents and other entries dial.
+ * @property linkAddress where it listens for agents and other entries.
+ * @property advertisedLinkAddress where agents and other entries dial; differs behind an address translation.
  * @property storeAddresses addresses of the platform's key-value service.
  * @property operatorToken bearer token for the inspection routes; null where their address is local.
  * @property drainMillis longest time that a graceful shutdown may take.
@@ -23,6 +24,7 @@
     val callersAddress: NodeAddress,
     val operatorsAddress: NodeAddress,
     val linkAddress: NodeAddress,
+    val advertisedLinkAddress: NodeAddress,
     val storeAddresses: List<NodeAddress>,
     val operatorToken: String?,
     val timing: LinkTiming,
@@ -35,6 +37,8 @@
         private val CALLERS = Setting("callers-address", "Address for callers.", "127.0.0.1:8080")
         private val OPERATORS = Setting("operators-address", "Address for operators.", "127.0.0.1:8081")
         private val LINK = Setting("link-address", "Address that agents and entries dial.", "127.0.0.1:7000")
+        private val ADVERTISED_LINK =
+            Setting("advertised-link-address", "Address told to agents and entries, if not the link address.")
         private val STORE = Setting("store-address", "URLs of the key-value service, separated by commas.")
         private val TOKEN = Setting("operator-token", "Bearer token for inspection; needed if not on loopback.")
         private val HEARTBEAT = Setting("heartbeat-millis", "Interval between heartbeats.", "500")
@@ -53,6 +57,7 @@
                 CALLERS,
                 OPERATORS,
                 LINK,
+                ADVERTISED_LINK,
                 STORE,
                 TOKEN,
                 HEARTBEAT,
@@ -72,6 +77,7 @@
                 callersAddress = reader.address(CALLERS),
                 operatorsAddress = operatorsAddress(reader),
                 linkAddress = reader.address(LINK),
+                advertisedLinkAddress = reader.address(advertisedLink(reader)),
                 storeAddresses = storeAddresses(reader),
                 operatorToken = operatorToken(reader),
                 timing =
@@ -83,6 +89,9 @@
                 logFormat = LogFormat.valueOf(reader.choice(LOG_FORMAT, listOf("text", "json")).uppercase()),
             )
 
+        private fun advertisedLink(reader: SettingReader): Setting =
+            if (reader.optional(ADVERTISED_LINK) == null) LINK else ADVERTISED_LINK
+
         private fun storeAddresses(reader: SettingReader): List<NodeAddress> =
             reader.read(STORE, "addresses as http://host:port, separated by commas", emptyList()) { text ->
                 val parsed = text.split(',').map { NodeAddress.parse(it.trim().removePrefix("http://")) }
--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/JobRoutes.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/JobRoutes.kt
@@ -107,8 +107,18 @@
         context.status(problem.status).contentType(Problem.MEDIA_TYPE).result(json.encodeToString(problem))
     }
 
-    private fun tooLarge(context: Context) =
+    /** Reads a bounded rest of the body first: a connection that is closed before that loses the answer. */
+    private fun tooLarge(context: Context) {
+        val body = context.req().inputStream
+        val buffer = ByteArray(DISCARD_BUFFER_BYTES)
+        var discarded = 0L
+        while (discarded < MOST_DISCARDED_BYTES) {
+            val count = body.read(buffer)
+            if (count < 0) break
+            discarded += count
+        }
         problem(context, null, Verdict.NotRun(Reason.TOO_LARGE, "The body is larger than this entry accepts."))
+    }
 
     /** Runs a request outside the server's threads and counts it, so that a drain waits for its answer. */
     private fun counted(
@@ -131,6 +141,8 @@
     private companion object {
         const val PATH = "/v1/jobs/{id}"
         const val JSON_TYPE = "application/json"
+        const val DISCARD_BUFFER_BYTES = 65_536
+        const val MOST_DISCARDED_BYTES = 64L * 1_024 * 1_024
         const val MILLIS_PER_SECOND = 1_000L
         const val DRAINING_RETRY_MILLIS = 1_000L
         val json = Json { encodeDefaults = true }
