Survive silent links, cancel, drain and lost upstreams in the agent

Cause: a connection that carried frames one way only was never given up, because any frame counted as a sign of life; the agent dialled once, did not stop cancelled tasks, and kept granting slots of an upstream that refused connections. Credits of a withdrawn upstream stayed counted while the entry had already forgotten them, so its slots would have been lost. Ruled out: holding the answer to DELETE /v1/upstream until the tasks have ended (the upstream's client times out first); a task as guinea pig for an unreachable upstream (a bare connection tells as much). Change: Link also asks for a reply to its heartbeats; a second connection is dialled at half the silence limit and replaces the first; unacknowledged answers are sent again; stops are sent a few at a time over spare connections; an upstream that refuses connections loses its slots, is probed, and is reported as absent after 3 s; DELETE /v1/upstream answers at once, 202 with the number of running tasks or 204; a drain that runs out of time tells the entries so.

--- a/egretlock-agent/src/main/kotlin/io/egretlock/agent/Agent.kt
+++ b/egretlock-agent/src/main/kotlin/io/egretlock/agent/Agent.kt
@@ -47,10 +47,10 @@
     private val ledger = SlotLedger()
     private val connections = EntryConnections()
     private val settingsReplica = SettingsReplica()
-    private val runner = TaskRunner(gate, ledger, client, connections, metrics, { queue.trySend(it) }, nowMillis)
-    private val idleWaiters = mutableListOf<CompletableDeferred<Unit>>()
+    private val upstream = UpstreamPresence(client, ledger, connections, { queue.trySend(it) }, nowMillis)
+    private val runner =
+        TaskRunner(gate, ledger, client, connections, metrics, { queue.trySend(it) }, upstream::refused, nowMillis)
     private var drained: CompletableDeferred<Unit>? = null
-    private var announcement: UpstreamAnnouncement? = null
     private var rosters: List<Roster> = emptyList()
 
     /** Where commands are sent. */
@@ -67,7 +67,7 @@
         settings.entries.forEach(dial)
         for (command in queue) {
             handle(command)
-            completeWaiters()
+            completeDrain()
         }
     }
 
@@ -78,10 +78,10 @@
             is EntryMessage -> if (connections.isCurrent(command.connection)) receive(command)
             is EntryDisconnected -> disconnected(command.connection)
             is UpstreamAnnounced -> command.accepted.complete(announced(command.announcement))
-            is UpstreamLeft -> left(command.idle)
+            is UpstreamLeft -> left(command.runningTasks)
             is CallEnded -> runner.callEnded(command)
-            is StopEnded -> Unit
-            is ProbeEnded -> Unit
+            is StopEnded -> runner.stopEnded()
+            is ProbeEnded -> upstream.probeEnded(command)
             is Tick -> passTime()
             is DrainRequested -> drain(command.done)
             is DumpRequested -> command.reply.complete(dump())
@@ -90,7 +90,7 @@
 
     private fun hello(address: NodeAddress): AgentHello? {
         if (address !in wantedAddresses()) return null
-        return AgentHello(id, settings.failureDomain, announcement, settingsReplica.revisions)
+        return AgentHello(id, settings.failureDomain, upstream.told, settingsReplica.revisions)
     }
 
     private fun wantedAddresses(): Set<NodeAddress> =
@@ -112,33 +112,33 @@
 
     private fun welcome(command: EntryConnected) {
         val entry = command.connection.entry
-        if (command.hello.announcement != announcement) connections.send(entry, UpstreamUpdate(announcement))
+        if (command.hello.announcement != upstream.told) connections.send(entry, UpstreamUpdate(upstream.told))
         learnRosters(command.welcome.rosters)
-        applySettings(command.welcome.settings)
+        val applied = applySettings(command.welcome.settings)
         val newer = settingsReplica.newerThan(command.welcome.settings)
         if (newer.isNotEmpty()) connections.send(entry, SettingsUpdate(newer))
-        connections.send(entry, SettingsApplied(settingsReplica.revisions))
+        if (!applied) connections.send(entry, SettingsApplied(settingsReplica.revisions))
         runner.resend(entry)
-        runner.send(ledger.connected(entry))
+        connections.send(ledger.connected(entry))
     }
 
     private fun disconnected(connection: EntryConnection) {
         if (!connections.isCurrent(connection)) return
         logger.event(AgentEvent.ENTRY_DISCONNECTED, "entry" to connection.entry, "address" to connection.address)
         connections.remove(connection.entry)
-        runner.send(ledger.disconnected(connection.entry))
+        connections.send(ledger.disconnected(connection.entry))
     }
 
     private fun receive(command: EntryMessage) {
         val entry = command.connection.entry
         when (val message = command.message) {
-            is Start -> runner.start(entry, message, announcement)
+            is Start -> runner.start(entry, message, upstream.announcement)
             is Acknowledge -> runner.acknowledge(entry, message)
             is Revoke -> runner.revoke(entry, message)
             is Reconcile -> runner.reconcile(entry, message)
-            is Cancel -> Unit
-            is CreditRequest -> runner.send(ledger.requested(entry, message.wanted))
-            is CreditReturn -> runner.send(ledger.returned(entry, message.count))
+            is Cancel -> runner.cancel(message.task)
+            is CreditRequest -> connections.send(ledger.requested(entry, message.wanted))
+            is CreditReturn -> connections.send(ledger.returned(entry, message.count))
             is RosterUpdate -> learnRosters(message.rosters)
             is SettingsUpdate -> applySettings(message.settings)
             else -> logger.debug { "Message not meant for an agent: ${message.javaClass.simpleName}" }
@@ -152,52 +152,43 @@
         wantedAddresses().forEach(dial)
     }
 
-    private fun applySettings(told: List<StoredTeamSettings>) {
+    /** Applies newer settings and tells all entries; returns whether there were any. */
+    private fun applySettings(told: List<StoredTeamSettings>): Boolean {
         val changed = settingsReplica.apply(told)
-        if (changed.isEmpty()) return
+        if (changed.isEmpty()) return false
         changed.forEach { logger.event(AgentEvent.SETTINGS_APPLIED, "team" to it.team, "revision" to it.revision) }
         connections.sendAll(SettingsApplied(settingsReplica.revisions))
+        return true
     }
 
     private fun announced(told: UpstreamAnnouncement): Boolean {
         if (drained != null) return false
-        if (told == announcement) return true
-        logger.event(AgentEvent.UPSTREAM_ANNOUNCED, "service" to told.service, "slots" to told.slots)
-        announcement = told
-        connections.sendAll(UpstreamUpdate(told))
-        runner.send(ledger.resize(minOf(told.slots, told.connections)))
+        upstream.announced(told)
         return true
     }
 
-    private fun left(idle: CompletableDeferred<Unit>) {
-        if (announcement != null) logger.event(AgentEvent.UPSTREAM_LEAVING)
-        withdrawUpstream()
-        idleWaiters += idle
-    }
-
-    private fun withdrawUpstream() {
-        announcement = null
-        connections.sendAll(UpstreamUpdate(null))
-        runner.send(ledger.resize(0))
+    private fun left(runningTasks: CompletableDeferred<Int>) {
+        upstream.left()
+        runningTasks.complete(runner.runningCount)
     }
 
     private fun drain(done: CompletableDeferred<Unit>) {
         logger.event(AgentEvent.DRAINING)
         ready = false
         drained = done
-        withdrawUpstream()
+        upstream.left()
     }
 
     private fun passTime() {
         gate.expire(nowMillis())
-        runner.send(ledger.relieve())
+        connections.send(ledger.relieve())
+        upstream.passTime()
+        metrics.observe(gate, ledger, connections.all.size)
     }
 
-    private fun completeWaiters() {
-        if (!runner.idle) return
-        idleWaiters.forEach { it.complete(Unit) }
-        idleWaiters.clear()
-        if (drained != null && gate.unacknowledged.isEmpty()) drained?.complete(Unit)
+    private fun completeDrain() {
+        val done = drained ?: return
+        if (runner.runningCount == 0 && gate.unacknowledged.isEmpty()) done.complete(Unit)
     }
 
     private fun dump(): AgentDump =
@@ -205,8 +196,8 @@
             agent = id,
             failureDomain = settings.failureDomain,
             draining = drained != null,
-            upstream = announcement,
-            upstreamReachable = true,
+            upstream = upstream.announcement,
+            upstreamReachable = upstream.reachable,
             slots = ledger.slots,
             runningTasks = gate.running.map { it.toString() },
             unacknowledgedTasks = gate.unacknowledged.map { it.attempt.task.toString() },
--- a/egretlock-agent/src/main/kotlin/io/egretlock/agent/AgentCommand.kt
+++ b/egretlock-agent/src/main/kotlin/io/egretlock/agent/AgentCommand.kt
@@ -42,9 +42,9 @@
     val accepted: CompletableDeferred<Boolean>,
 ) : AgentCommand
 
-/** The upstream leaves; [idle] completes once none of its tasks runs. */
+/** The upstream leaves; answered with the number of tasks that still run. */
 internal data class UpstreamLeft(
-    val idle: CompletableDeferred<Unit>,
+    val runningTasks: CompletableDeferred<Int>,
 ) : AgentCommand
 
 /** A call to the upstream ended. */
--- a/egretlock-agent/src/main/kotlin/io/egretlock/agent/AgentMetrics.kt
+++ b/egretlock-agent/src/main/kotlin/io/egretlock/agent/AgentMetrics.kt
@@ -1,5 +1,7 @@
 package io.egretlock.agent
 
+import io.egretlock.core.gate.SlotLedger
+import io.egretlock.core.gate.StartGate
 import io.egretlock.core.job.TaskOutcome
 import io.egretlock.core.job.Verdict
 import io.prometheus.metrics.core.metrics.Counter
@@ -39,13 +41,17 @@
                 },
             ).inc()
 
-    /** Updates the gauges from the agent's state. */
-    fun observe(dump: AgentDump) {
-        running.set(dump.runningTasks.size.toDouble())
-        granted.set(dump.entries.sumOf { it.credits }.toDouble())
-        unacknowledged.set(dump.unacknowledgedTasks.size.toDouble())
-        remembered.set(dump.rememberedTasks.toDouble())
-        entries.set(dump.entries.size.toDouble())
+    /** Updates the gauges of gate and ledger. */
+    fun observe(
+        gate: StartGate,
+        ledger: SlotLedger,
+        connectedEntries: Int,
+    ) {
+        running.set(gate.running.size.toDouble())
+        granted.set(ledger.granted.toDouble())
+        unacknowledged.set(gate.unacknowledged.size.toDouble())
+        remembered.set(gate.size.toDouble())
+        entries.set(connectedEntries.toDouble())
     }
 
     private fun verdictLabel(verdict: Verdict): String =
--- a/egretlock-agent/src/main/kotlin/io/egretlock/agent/AgentProcess.kt
+++ b/egretlock-agent/src/main/kotlin/io/egretlock/agent/AgentProcess.kt
@@ -55,19 +55,24 @@
         val done = CompletableDeferred<Unit>()
         agent.commands.send(DrainRequested(done))
         val complete = withTimeoutOrNull(settings.drainMillis) { done.await() }
-        if (complete == null) logger.event(AgentEvent.DRAIN_INCOMPLETE)
+        if (complete == null) giveUpRunningTasks(done)
         servers.forEach { it.stop() }
         client.close()
         scope.cancel()
         logger.event(AgentEvent.STOPPED)
     }
 
-    override suspend fun dump(): String = Json.encodeToString(currentDump())
+    /** Ends the calls that still run, so that their entries learn at once that there will be no answer. */
+    private suspend fun giveUpRunningTasks(done: CompletableDeferred<Unit>) {
+        logger.event(AgentEvent.DRAIN_INCOMPLETE)
+        client.cancelAll()
+        withTimeoutOrNull(LAST_ACKNOWLEDGEMENTS_MILLIS) { done.await() }
+    }
 
-    private suspend fun currentDump(): AgentDump {
+    override suspend fun dump(): String {
         val reply = CompletableDeferred<AgentDump>()
         agent.commands.send(DumpRequested(reply))
-        return reply.await()
+        return Json.encodeToString(reply.await())
     }
 
     private fun dial(address: NodeAddress) {
@@ -82,13 +87,12 @@
         while (scope.isActive) {
             delay(TICK_MILLIS)
             agent.commands.send(Tick)
-            metrics.observe(currentDump())
         }
     }
 
     private fun announceServer(): HttpServer =
         HttpServer(settings.announceAddress) { config ->
-            UpstreamRoutes(agent.commands, settings.drainMillis).addTo(config)
+            UpstreamRoutes(agent.commands).addTo(config)
         }
 
     private fun operatorsServer(): HttpServer =
@@ -118,7 +122,8 @@
 
     private companion object {
         const val NANOS_PER_MILLI = 1_000_000L
-        const val TICK_MILLIS = 1_000L
+        const val TICK_MILLIS = 500L
+        const val LAST_ACKNOWLEDGEMENTS_MILLIS = 1_000L
         const val LARGEST_THREADS = 16
     }
 }
--- a/egretlock-agent/src/main/kotlin/io/egretlock/agent/HttpUpstreamClient.kt
+++ b/egretlock-agent/src/main/kotlin/io/egretlock/agent/HttpUpstreamClient.kt
@@ -6,6 +6,7 @@
 import io.egretlock.core.job.TaskSpecification
 import io.egretlock.core.job.Verdict
 import io.egretlock.core.placement.UpstreamAnnouncement
+import io.github.oshai.kotlinlogging.KotlinLogging
 import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
@@ -27,6 +28,7 @@
 import okhttp3.RequestBody.Companion.toRequestBody
 import okhttp3.Response
 import java.io.IOException
+import java.io.InterruptedIOException
 import java.net.InetSocketAddress
 import java.net.Socket
 import java.util.concurrent.ExecutorService
@@ -34,6 +36,8 @@
 import java.util.concurrent.ThreadPoolExecutor
 import java.util.concurrent.TimeUnit
 
+private val logger = KotlinLogging.logger {}
+
 /**
  * Calls an upstream by HTTP. Every request is sent at most once: connection retries, redirects and OkHttp's own
  * follow-up requests are off.
@@ -47,6 +51,7 @@
             .dispatcher(unboundedDispatcher(threads))
             .connectionPool(pool)
             .protocols(listOf(Protocol.HTTP_1_1))
+            .socketFactory(KeepAliveSocketFactory)
             .retryOnConnectionFailure(false)
             .followRedirects(false)
             .connectTimeout(CONNECT_MILLIS, TimeUnit.MILLISECONDS)
@@ -103,8 +108,10 @@
 
     override fun dropIdleConnections() = pool.evictAll()
 
+    override fun cancelAll() = client.dispatcher.cancelAll()
+
     override fun close() {
-        client.dispatcher.cancelAll()
+        cancelAll()
         threads.shutdown()
         pool.evictAll()
     }
@@ -137,13 +144,12 @@
             e: IOException,
         ) = onEnd(endWithoutAnswer(e))
 
-        private fun endWithoutAnswer(failure: IOException): CallEnd =
-            if (tracker.mayHaveSent) {
-                val detail = "No answer from the upstream: ${failure.javaClass.simpleName}."
-                CallEnd.Ended(TaskOutcome.Ended(Verdict.MayHaveRun(Reason.UPSTREAM_LOST, detail)))
-            } else {
-                CallEnd.NotStarted("No connection to the upstream: ${failure.javaClass.simpleName}.")
-            }
+        private fun endWithoutAnswer(failure: IOException): CallEnd {
+            logger.debug { "Call to the upstream failed: $failure" }
+            if (!tracker.mayHaveSent) return CallEnd.NotStarted
+            val detail = if (failure is InterruptedIOException) NO_ANSWER_IN_TIME else CONNECTION_LOST
+            return CallEnd.Ended(TaskOutcome.Ended(Verdict.MayHaveRun(Reason.UPSTREAM_LOST, detail)))
+        }
     }
 
     private class StopCallback(
@@ -164,6 +170,8 @@
     }
 
     internal companion object {
+        const val NO_ANSWER_IN_TIME = "The upstream gave no answer within the deadline."
+        const val CONNECTION_LOST = "The connection to the upstream was lost before its answer."
         const val LARGEST_ANSWER_BYTES = 16L * 1_024 * 1_024
         private const val CONNECT_MILLIS = 1_000L
         private const val STOP_MILLIS = 2_000L
--- a/egretlock-agent/src/main/kotlin/io/egretlock/agent/TaskRunner.kt
+++ b/egretlock-agent/src/main/kotlin/io/egretlock/agent/TaskRunner.kt
@@ -1,6 +1,5 @@
 package io.egretlock.agent
 
-import io.egretlock.core.gate.CreditAction
 import io.egretlock.core.gate.KeptAnswer
 import io.egretlock.core.gate.SlotLedger
 import io.egretlock.core.gate.StartDecision
@@ -9,6 +8,7 @@
 import io.egretlock.core.job.ProcessId
 import io.egretlock.core.job.TaskId
 import io.egretlock.core.job.TaskOutcome
+import io.egretlock.core.job.Verdict
 import io.egretlock.core.placement.UpstreamAnnouncement
 import io.egretlock.process.event
 import io.egretlock.protocol.Acknowledge
@@ -34,17 +34,16 @@
     private val client: UpstreamClient,
     private val connections: EntryConnections,
     private val metrics: AgentMetrics,
-    private val onCallEnd: (CallEnded) -> Unit,
+    private val send: (AgentCommand) -> Unit,
+    private val onRefusedConnection: (UpstreamAnnouncement) -> Unit,
     private val nowMillis: () -> Long,
 ) {
     private val calls = HashMap<TaskId, RunningCall>()
+    private val stops = StopQueue(client, metrics) { send(StopEnded) }
 
-    /** Whether no task runs. */
-    val idle: Boolean
-        get() = calls.isEmpty()
-
-    /** Tasks handed to the upstream that have not ended, with the upstream that has them. */
-    fun upstreamOf(task: TaskId): UpstreamAnnouncement? = calls[task]?.upstream
+    /** Tasks handed to the upstream that have not ended. */
+    val runningCount: Int
+        get() = calls.size
 
     /** Starts a task on [upstream] if a credit of [entry] allows it and the task has not been started before. */
     fun start(
@@ -79,7 +78,7 @@
         calls[task] = RunningCall(entry, message.attempt, upstream)
         metrics.started()
         client.run(upstream, task, message.specification, message.remainingMillis) { end ->
-            onCallEnd(CallEnded(task, end, nowMillis() - startedAtMillis))
+            send(CallEnded(task, end, nowMillis() - startedAtMillis))
         }
     }
 
@@ -103,13 +102,23 @@
     /** Settles a task whose call ended. */
     fun callEnded(ended: CallEnded) {
         val call = calls.remove(ended.task) ?: return
+        stops.remove(ended.task)
         when (val end = ended.end) {
             is CallEnd.NotStarted -> notStarted(call)
             is CallEnd.Ended -> finished(call, end.outcome, ended.runMillis)
         }
     }
 
+    /** Asks the upstream to stop a task whose answer is not needed, if it still runs. */
+    fun cancel(task: TaskId) {
+        calls[task]?.let { stops.add(task, it.upstream) }
+    }
+
+    /** Settles a request to stop a task. */
+    fun stopEnded() = stops.ended()
+
     private fun notStarted(call: RunningCall) {
+        onRefusedConnection(call.upstream)
         gate.notStarted(call.attempt.task, nowMillis())
         refuse(call.entry, call.attempt)
         connections.send(ledger.freed(call.entry, reusable = false).actions)
@@ -122,14 +131,24 @@
     ) {
         val answer = gate.finish(call.attempt.task, outcome, runMillis, nowMillis())
         if (outcome is TaskOutcome.Ended) {
-            logger.event(AgentEvent.TASK_WITHOUT_ANSWER, "task" to call.attempt.task, "verdict" to outcome.verdict)
+            withoutAnswer(call, outcome.verdict)
         }
         metrics.finished(outcome)
         val slot = ledger.freed(call.entry, reusable = answer?.owner == call.entry)
-        if (answer != null) send(answer, slot.credit)
+        if (answer != null) deliver(answer, slot.credit)
         connections.send(slot.actions)
     }
 
+    private fun withoutAnswer(
+        call: RunningCall,
+        verdict: Verdict,
+    ) {
+        logger.event(AgentEvent.TASK_WITHOUT_ANSWER, "task" to call.attempt.task, "verdict" to verdict)
+        if (verdict !is Verdict.MayHaveRun) return
+        client.dropIdleConnections()
+        stops.add(call.attempt.task, call.upstream)
+    }
+
     /** Drops answers that have arrived. */
     fun acknowledge(
         entry: ProcessId,
@@ -151,19 +170,16 @@
         message: Reconcile,
     ) {
         connections.send(entry, ReconcileReply(gate.reconcile(entry, message.attempts, nowMillis())))
-        gate.answers(entry, message.attempts).forEach { send(it, credit = false) }
+        gate.answers(entry, message.attempts).forEach { deliver(it, credit = false) }
     }
 
     /** Sends the answers that [entry] has not acknowledged. */
     fun resend(entry: ProcessId) {
         gate.forgetEarlier(entry, nowMillis())
-        gate.unacknowledged.filter { it.owner == entry }.forEach { send(it, credit = false) }
+        gate.unacknowledged.filter { it.owner == entry }.forEach { deliver(it, credit = false) }
     }
 
-    /** Sends what the ledger says is due. */
-    fun send(actions: List<CreditAction>) = connections.send(actions)
-
-    private fun send(
+    private fun deliver(
         answer: KeptAnswer,
         credit: Boolean,
     ) = connections.send(answer.owner, Finished(answer.attempt.task, answer.outcome, answer.runMillis, credit))
--- a/egretlock-agent/src/main/kotlin/io/egretlock/agent/UpstreamClient.kt
+++ b/egretlock-agent/src/main/kotlin/io/egretlock/agent/UpstreamClient.kt
@@ -31,6 +31,9 @@
     /** Forgets idle connections, which may have gone silent. */
     fun dropIdleConnections()
 
-    /** Ends all calls. */
+    /** Ends all calls; each of them is told so. */
+    fun cancelAll()
+
+    /** Ends all calls and frees the client's threads. */
     fun close()
 }
--- a/egretlock-agent/src/main/kotlin/io/egretlock/agent/UpstreamRoutes.kt
+++ b/egretlock-agent/src/main/kotlin/io/egretlock/agent/UpstreamRoutes.kt
@@ -8,8 +8,9 @@
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.channels.SendChannel
 import kotlinx.coroutines.runBlocking
-import kotlinx.coroutines.withTimeoutOrNull
+import kotlinx.serialization.Serializable
 import kotlinx.serialization.SerializationException
+import kotlinx.serialization.encodeToString
 import kotlinx.serialization.json.Json
 import okhttp3.HttpUrl.Companion.toHttpUrlOrNull
 
@@ -18,12 +19,11 @@
 /**
  * The routes on which the upstream announces itself (`PUT /v1/upstream`) and leaves (`DELETE /v1/upstream`).
  *
- * A leave is answered with 204 once none of the upstream's tasks runs, or with 202 if some still run after
- * [leaveMillis]. No task is started from its arrival on.
+ * No task is started from the arrival of a leave on. It is answered with 204 if no task runs, else with 202 and the
+ * number of tasks that do; the upstream may ask again until the answer is 204.
  */
 internal class UpstreamRoutes(
     private val commands: SendChannel<AgentCommand>,
-    private val leaveMillis: Long,
 ) {
     /** Adds the routes to a server. */
     fun addTo(config: JavalinConfig) {
@@ -49,10 +49,15 @@
     }
 
     private fun leave(context: Context) {
-        val idle = CompletableDeferred<Unit>()
-        commands.trySend(UpstreamLeft(idle))
-        val ended = runBlocking { withTimeoutOrNull(leaveMillis) { idle.await() } }
-        context.status(if (ended == null) HTTP_ACCEPTED else HTTP_NO_CONTENT)
+        val reply = CompletableDeferred<Int>()
+        commands.trySend(UpstreamLeft(reply))
+        val runningTasks = runBlocking { reply.await() }
+        context.status(if (runningTasks == 0) HTTP_NO_CONTENT else HTTP_ACCEPTED)
+        if (runningTasks >
+            0
+        ) {
+            context.contentType("application/json").result(Json.encodeToString(LeaveProgress(runningTasks)))
+        }
     }
 
     private fun parse(body: String): UpstreamAnnouncement? =
@@ -72,6 +77,11 @@
             "address: must be an http URL.".takeIf { announcement.address.toHttpUrlOrNull()?.scheme != "http" },
         )
 
+    @Serializable
+    private data class LeaveProgress(
+        val runningTasks: Int,
+    )
+
     private companion object {
         const val LARGEST_SLOTS = 256
         const val LARGEST_CONNECTIONS = 65_535
--- a/egretlock-agent/src/test/kotlin/io/egretlock/agent/AgentProcessTest.kt
+++ b/egretlock-agent/src/test/kotlin/io/egretlock/agent/AgentProcessTest.kt
@@ -1,15 +1,34 @@
 package io.egretlock.agent
 
 import io.egretlock.agent.AgentStandUp.Companion.start
+import io.egretlock.core.job.ProcessId
+import io.egretlock.core.job.Reason
 import io.egretlock.core.job.TaskOutcome
+import io.egretlock.core.job.TeamName
+import io.egretlock.core.job.Verdict
+import io.egretlock.core.roster.EntryMember
+import io.egretlock.core.roster.NodeAddress
+import io.egretlock.core.roster.Roster
+import io.egretlock.core.settings.StoredTeamSettings
+import io.egretlock.core.settings.TeamSettings
 import io.egretlock.protocol.Acknowledge
+import io.egretlock.protocol.Cancel
 import io.egretlock.protocol.CreditGrant
 import io.egretlock.protocol.Finished
+import io.egretlock.protocol.RosterUpdate
+import io.egretlock.protocol.SettingsApplied
+import io.egretlock.protocol.SettingsRevision
+import io.egretlock.protocol.SettingsUpdate
 import io.egretlock.protocol.StartRefused
 import io.egretlock.protocol.UpstreamUpdate
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.async
 import kotlinx.coroutines.runBlocking
 import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertFalse
+import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
+import java.util.concurrent.CompletableFuture
 
 class AgentProcessTest {
     @Test
@@ -46,4 +65,156 @@
             assertEquals(StartRefused(start(0).attempt), session.receive<StartRefused>())
             listOf(agent, entry).forEach { it.close() }
         }
+
+    @Test
+    fun `given a running task, when it is cancelled, then the upstream is asked to stop it`() =
+        runBlocking {
+            val release = CompletableFuture<Unit>()
+            val upstream = UpstreamStandIn(UpstreamStandIn.held(release, "7"))
+            val entry = EntryStandIn()
+            val agent = AgentStandUp(listOf(entry.address))
+            val session = entry.session()
+            agent.announce(upstream.announcement())
+            session.receive<CreditGrant>()
+            session.send(start(0))
+            upstream.awaitRequest()
+            session.send(Cancel(start(0).attempt.task))
+            session.send(Cancel(start(1).attempt.task))
+            upstream.awaitRequest(2)
+            release.complete(Unit)
+            session.send(Acknowledge(listOf(session.receive<Finished>().task)))
+            listOf(agent, entry, upstream).forEach { it.close() }
+            assertEquals(listOf("POST /tasks/job:0", "DELETE /tasks/job:0"), upstream.requests.toList())
+        }
+
+    @Test
+    fun `given a running task, when the upstream leaves, then the task ends and no other starts`() =
+        runBlocking {
+            val release = CompletableFuture<Unit>()
+            val upstream = UpstreamStandIn(UpstreamStandIn.held(release, "7"))
+            val entry = EntryStandIn()
+            val agent = AgentStandUp(listOf(entry.address))
+            val session = entry.session()
+            agent.announce(upstream.announcement())
+            session.receive<CreditGrant>()
+            session.send(start(0))
+            upstream.awaitRequest()
+            assertEquals(202, agent.leave())
+            assertEquals(UpstreamUpdate(null), session.receive<UpstreamUpdate>())
+            session.send(start(1))
+            assertEquals(StartRefused(start(1).attempt), session.receive<StartRefused>())
+            release.complete(Unit)
+            val finished = session.receive<Finished>()
+            assertEquals(TaskOutcome.Succeeded("7") to false, finished.outcome to finished.credit)
+            session.send(Acknowledge(listOf(finished.task)))
+            assertEquals(204, agent.leave())
+            assertEquals(204, agent.announce(upstream.announcement()))
+            assertEquals(CreditGrant(2), session.receive<CreditGrant>())
+            listOf(agent, entry, upstream).forEach { it.close() }
+            assertEquals(1, upstream.requests.size)
+        }
+
+    @Test
+    fun `given a running task, when the agent stops, then it starts no other and waits for the acknowledgement`() =
+        runBlocking {
+            val release = CompletableFuture<Unit>()
+            val upstream = UpstreamStandIn(UpstreamStandIn.held(release, "7"))
+            val entry = EntryStandIn()
+            val agent = AgentStandUp(listOf(entry.address))
+            val session = entry.session()
+            agent.announce(upstream.announcement())
+            session.receive<CreditGrant>()
+            session.send(start(0))
+            upstream.awaitRequest()
+            val stopped = async(Dispatchers.IO) { agent.close() }
+            assertEquals(UpstreamUpdate(null), session.receive<UpstreamUpdate>())
+            assertEquals(503 to "draining", agent.get("/ready").let { it.statusCode() to it.body() })
+            assertEquals(503, agent.announce(upstream.announcement()))
+            session.send(start(1))
+            assertEquals(StartRefused(start(1).attempt), session.receive<StartRefused>())
+            release.complete(Unit)
+            val finished = session.receive<Finished>()
+            assertFalse(stopped.isCompleted)
+            session.send(Acknowledge(listOf(finished.task)))
+            stopped.await()
+            listOf(entry, upstream).forEach { it.close() }
+            assertEquals(1, upstream.requests.size)
+        }
+
+    @Test
+    fun `given a task that outlasts the drain time, when the agent stops, then it is said that it may have run`() =
+        runBlocking {
+            val release = CompletableFuture<Unit>()
+            val upstream = UpstreamStandIn(UpstreamStandIn.held(release, "7"))
+            val entry = EntryStandIn()
+            val agent = AgentStandUp(listOf(entry.address), drainMillis = 100)
+            val session = entry.session()
+            agent.announce(upstream.announcement())
+            session.receive<CreditGrant>()
+            session.send(start(0))
+            upstream.awaitRequest()
+            val stopped = async(Dispatchers.IO) { agent.close() }
+            val finished = session.receive<Finished>()
+            val verdict = Verdict.MayHaveRun(Reason.UPSTREAM_LOST, HttpUpstreamClient.CONNECTION_LOST)
+            assertEquals(TaskOutcome.Ended(verdict), finished.outcome)
+            session.send(Acknowledge(listOf(finished.task)))
+            stopped.await()
+            release.complete(Unit)
+            listOf(entry, upstream).forEach { it.close() }
+        }
+
+    @Test
+    fun `given entries with different revisions, when an agent meets both, then both get the higher one`() =
+        runBlocking {
+            val newer = EntryStandIn(settings = listOf(stored(revision = 9)))
+            val agent = AgentStandUp(listOf(newer.address))
+            val session = newer.session()
+            assertEquals(SettingsApplied(listOf(SettingsRevision(TEAM, 9))), session.receive<SettingsApplied>())
+            val older = EntryStandIn(id = ProcessId("entry-2", 1), settings = listOf(stored(revision = 4)))
+            session.send(
+                RosterUpdate(listOf(Roster(1, 0, listOf(EntryMember(ProcessId("entry-2", 1), older.address))))),
+            )
+            val other = older.session()
+            assertEquals(listOf(SettingsRevision(TEAM, 9)), other.hello.settingsRevisions)
+            assertEquals(SettingsUpdate(listOf(stored(revision = 9))), other.receive<SettingsUpdate>())
+            other.send(SettingsUpdate(listOf(stored(revision = 8))))
+            other.send(SettingsUpdate(listOf(stored(revision = 10))))
+            assertEquals(SettingsApplied(listOf(SettingsRevision(TEAM, 10))), session.receive<SettingsApplied>())
+            listOf(agent, newer, older).forEach { it.close() }
+        }
+
+    @Test
+    fun `given a malformed announcement, when it arrives, then every fault is named`() {
+        val agent = AgentStandUp(listOf(NodeAddress("127.0.0.1", 1)))
+        val body = """{"service":" ","slots":0,"connections":0,"address":"ftp://x"}"""
+        val answer = agent.announce(body)
+        val expected =
+            """
+            service: must not be blank.
+            slots: must be from 1 to 256.
+            connections: must be from 1 to 65535.
+            address: must be an http URL.
+            """.trimIndent()
+        assertEquals(400 to expected, answer.statusCode() to answer.body())
+        assertEquals(
+            400 to "The body is not an announcement.",
+            agent.announce("[]").let { it.statusCode() to it.body() },
+        )
+        agent.close()
+    }
+
+    @Test
+    fun `given a running agent, when operators look, then it is live and ready and shows its metrics`() {
+        val agent = AgentStandUp(listOf(NodeAddress("127.0.0.1", 1)))
+        assertEquals("live", agent.get("/live").body())
+        assertEquals(200, agent.get("/ready").statusCode())
+        assertTrue(agent.get("/metrics").body().contains("egretlock_agent_starts_total 0.0"))
+        agent.close()
+    }
+
+    private fun stored(revision: Long) = StoredTeamSettings(revision, TeamSettings(TEAM))
+
+    private companion object {
+        val TEAM = TeamName("haddad")
+    }
 }
--- a/egretlock-agent/src/test/kotlin/io/egretlock/agent/AgentStandUp.kt
+++ b/egretlock-agent/src/test/kotlin/io/egretlock/agent/AgentStandUp.kt
@@ -27,6 +27,7 @@
 internal class AgentStandUp(
     entries: List<NodeAddress>,
     timing: LinkTiming = LinkTiming(heartbeatMillis = 100, silenceMillis = 1_000),
+    drainMillis: Long = 10_000,
 ) : AutoCloseable {
     private val settings =
         AgentSettings(
@@ -37,7 +38,7 @@
             entries = entries,
             operatorToken = null,
             timing = timing,
-            drainMillis = 10_000,
+            drainMillis = drainMillis,
             logFormat = LogFormat.TEXT,
         )
     private val http = HttpClient.newHttpClient()
--- /dev/null
+++ b/egretlock-agent/src/test/kotlin/io/egretlock/agent/EntryDialerTest.kt
@@ -0,0 +1,112 @@
+package io.egretlock.agent
+
+import io.egretlock.agent.AgentStandUp.Companion.start
+import io.egretlock.core.job.TaskOutcome
+import io.egretlock.protocol.Acknowledge
+import io.egretlock.protocol.AttemptState
+import io.egretlock.protocol.AttemptStatus
+import io.egretlock.protocol.CreditGrant
+import io.egretlock.protocol.Finished
+import io.egretlock.protocol.Heartbeat
+import io.egretlock.protocol.LinkTiming
+import io.egretlock.protocol.Reconcile
+import io.egretlock.protocol.ReconcileReply
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withTimeout
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.ValueSource
+import java.util.concurrent.CompletableFuture
+
+class EntryDialerTest {
+    @ParameterizedTest
+    @ValueSource(booleans = [true, false])
+    fun `given a running task, when its connection goes silent, then the answer comes over a second one`(
+        oneWay: Boolean,
+    ) = runBlocking {
+        val release = CompletableFuture<Unit>()
+        val upstream = UpstreamStandIn(UpstreamStandIn.held(release, "7"))
+        val entry = EntryStandIn(timing = PATIENT)
+        val proxy = SilencingProxy(entry.address)
+        val agent = AgentStandUp(listOf(proxy.address))
+        val first = entry.session()
+        agent.announce(upstream.announcement())
+        first.receive<CreditGrant>()
+        first.send(start(0))
+        upstream.awaitRequest()
+        proxy.silence(oneWay)
+        val second = entry.session()
+        assertEquals(first.hello.agent, second.hello.agent)
+        second.send(Reconcile(listOf(start(0).attempt, start(1).attempt)))
+        val expected =
+            listOf(
+                AttemptStatus(start(0).attempt, AttemptState.RUNNING),
+                AttemptStatus(start(1).attempt, AttemptState.NEVER_SEEN),
+            )
+        assertEquals(ReconcileReply(expected), second.receive<ReconcileReply>())
+        release.complete(Unit)
+        val finished = second.receive<Finished>()
+        assertEquals(TaskOutcome.Succeeded("7"), finished.outcome)
+        second.send(Acknowledge(listOf(finished.task)))
+        listOf(agent, proxy, entry, upstream).forEach { it.close() }
+    }
+
+    @Test
+    fun `given an answer sent but not acknowledged, when the connection is replaced, then it is sent again`() =
+        runBlocking {
+            val upstream = UpstreamStandIn { UpstreamStandIn.answer(it, "7") }
+            val entry = EntryStandIn(timing = PATIENT)
+            val agent = AgentStandUp(listOf(entry.address))
+            agent.announce(upstream.announcement())
+            val first = entry.session()
+            first.receive<CreditGrant>()
+            first.send(start(0))
+            val finished = first.receive<Finished>()
+            first.link.close()
+            val second = entry.session()
+            assertEquals(finished.copy(credit = false), second.receive<Finished>())
+            second.send(Acknowledge(listOf(finished.task)))
+            listOf(agent, entry, upstream).forEach { it.close() }
+            assertEquals(1, upstream.requests.size)
+        }
+
+    @Test
+    fun `given an entry that restarts, when it is back, then it gets credits and no answers of its earlier run`() =
+        runBlocking {
+            val upstream = UpstreamStandIn { UpstreamStandIn.answer(it, "7") }
+            val entry = EntryStandIn()
+            val agent = AgentStandUp(listOf(entry.address))
+            agent.announce(upstream.announcement())
+            val first = entry.session()
+            first.receive<CreditGrant>()
+            first.send(start(0))
+            first.receive<Finished>()
+            entry.restart(listOf(first))
+            assertEquals(CreditGrant(2), entry.session().receive<CreditGrant>())
+            assertEquals(emptyList<String>(), agent.dump().unacknowledgedTasks)
+            listOf(agent, entry, upstream).forEach { it.close() }
+        }
+
+    @Test
+    fun `given two addresses of one entry, when both are dialled, then one connection is used`() =
+        runBlocking {
+            val entry = EntryStandIn()
+            val proxy = SilencingProxy(entry.address)
+            val agent = AgentStandUp(listOf(entry.address, proxy.address))
+            val links = List(2) { entry.session().link }
+            withTimeout(EntryStandIn.DEADLINE_MILLIS) {
+                while (links.none { !it.send(Heartbeat(0)) }) delay(POLL_MILLIS)
+            }
+            assertEquals(1, agent.dump().entries.size)
+            listOf(agent, proxy, entry).forEach { it.close() }
+        }
+
+    private companion object {
+        const val POLL_MILLIS = 10L
+
+        /** An entry that never gives up a connection by itself, so that the agent must. */
+        val PATIENT = LinkTiming(heartbeatMillis = 100, silenceMillis = 60_000)
+    }
+}
--- a/egretlock-agent/src/test/kotlin/io/egretlock/agent/EntryStandIn.kt
+++ b/egretlock-agent/src/test/kotlin/io/egretlock/agent/EntryStandIn.kt
@@ -20,8 +20,7 @@
 
 /** An entry for tests: welcomes agents and hands each connection to the test. */
 internal class EntryStandIn(
-    port: Int = 0,
-    private val id: ProcessId = ProcessId("entry-1", 1),
+    @Volatile private var id: ProcessId = ProcessId("entry-1", 1),
     private val settings: List<StoredTeamSettings> = emptyList(),
     timing: LinkTiming = LinkTiming(),
 ) : AutoCloseable {
@@ -29,7 +28,7 @@
     private val selector = SelectorManager(Dispatchers.IO)
     private val sessions = Channel<Session>(Channel.UNLIMITED)
     private val listener =
-        runBlocking { LinkListener.bind(NodeAddress("127.0.0.1", port), selector, scope, timing) { welcome(it) } }
+        runBlocking { LinkListener.bind(NodeAddress("127.0.0.1", 0), selector, scope, timing) { welcome(it) } }
 
     /** Where agents dial. */
     val address: NodeAddress = NodeAddress("127.0.0.1", listener.port)
@@ -37,6 +36,12 @@
     /** The next connection that an agent opens. */
     suspend fun session(): Session = withTimeout(DEADLINE_MILLIS) { sessions.receive() }
 
+    /** Takes the identity of a new run at the same address, and ends the connections of the earlier one. */
+    fun restart(open: List<Session>) {
+        id = id.copy(incarnation = id.incarnation + 1)
+        open.forEach { it.link.close() }
+    }
+
     override fun close() {
         listener.close()
         scope.cancel()
--- /dev/null
+++ b/egretlock-agent/src/test/kotlin/io/egretlock/agent/HttpUpstreamClientTest.kt
@@ -0,0 +1,138 @@
+package io.egretlock.agent
+
+import com.sun.net.httpserver.HttpExchange
+import io.egretlock.agent.AgentStandUp.Companion.start
+import io.egretlock.agent.UpstreamStandIn.Companion.answer
+import io.egretlock.core.job.Reason
+import io.egretlock.core.job.ServiceName
+import io.egretlock.core.job.TaskOutcome
+import io.egretlock.core.job.Verdict
+import io.egretlock.core.placement.UpstreamAnnouncement
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Test
+import java.net.ServerSocket
+import java.util.concurrent.CompletableFuture
+import java.util.concurrent.TimeUnit
+import kotlin.concurrent.thread
+
+class HttpUpstreamClientTest {
+    @Test
+    fun `given an answer that invites a repetition, when a task is run, then the upstream gets it once`() {
+        val upstream =
+            UpstreamStandIn { exchange ->
+                exchange.responseHeaders.add("Retry-After", "0")
+                answer(exchange, "{}", status = 503)
+            }
+        upstream.use {
+            assertEquals(failed("The upstream answered with status 503."), run(it.announcement()))
+            assertEquals(1, it.requests.size)
+        }
+    }
+
+    @Test
+    fun `given a redirect, when a task is run, then it is not followed`() {
+        val upstream =
+            UpstreamStandIn { exchange ->
+                exchange.responseHeaders.add("Location", "/elsewhere")
+                answer(exchange, "", status = 308)
+            }
+        upstream.use {
+            assertEquals(failed("The upstream answered with status 308."), run(it.announcement()))
+            assertEquals(listOf("POST /tasks/job:0"), it.requests.toList())
+        }
+    }
+
+    @Test
+    fun `given an answer that is not JSON, when a task is run, then it has failed`() =
+        answered("{") { assertEquals(failed("The upstream's answer is not JSON."), it) }
+
+    @Test
+    fun `given an answer beyond the limit, when a task is run, then it has failed`() =
+        answered("\"${"x".repeat(HttpUpstreamClient.LARGEST_ANSWER_BYTES.toInt())}\"") {
+            assertEquals(failed("The upstream's answer is too large."), it)
+        }
+
+    @Test
+    fun `given a connection cut before the answer, when a task is run, then it may have run`() {
+        val upstream = UpstreamStandIn(HttpExchange::close)
+        upstream.use { assertEquals(lost(HttpUpstreamClient.CONNECTION_LOST), run(it.announcement())) }
+    }
+
+    @Test
+    fun `given no answer until the deadline, when a task is run, then it may have run`() {
+        val release = CompletableFuture<Unit>()
+        val upstream = UpstreamStandIn(UpstreamStandIn.held(release, "1"))
+        upstream.use {
+            assertEquals(lost(HttpUpstreamClient.NO_ANSWER_IN_TIME), run(it.announcement(), remainingMillis = 300))
+            release.complete(Unit)
+        }
+    }
+
+    @Test
+    fun `given a refused connection, when a task is run, then it has not started`() {
+        val port = ServerSocket(0).use { it.localPort }
+        val end = run(UpstreamAnnouncement(ServiceName("net-check"), 1, 2, "http://127.0.0.1:$port"))
+        assertEquals(CallEnd.NotStarted, end)
+    }
+
+    @Test
+    fun `given an idle connection closed by the upstream, when a task is run, then it is not sent again elsewhere`() {
+        ServerSocket(0).use { listener ->
+            val received = CompletableFuture<Int>()
+            thread(isDaemon = true) { received.complete(serveOnceThenCloseEach(listener)) }
+            val announcement =
+                UpstreamAnnouncement(ServiceName("net-check"), 1, 2, "http://127.0.0.1:${listener.localPort}")
+            val client = HttpUpstreamClient()
+            assertEquals(CallEnd.Ended(TaskOutcome.Succeeded("1")), run(announcement, client = client))
+            assertEquals(lost(HttpUpstreamClient.CONNECTION_LOST), run(announcement, client = client))
+            client.close()
+            listener.close()
+            assertEquals(2, received.get(DEADLINE_MILLIS, TimeUnit.MILLISECONDS))
+        }
+    }
+
+    /** Answers the first request; takes the second on the same connection and closes it. Returns all requests seen. */
+    private fun serveOnceThenCloseEach(listener: ServerSocket): Int {
+        var requests = 0
+        while (true) {
+            val socket = runCatching { listener.accept() }.getOrNull() ?: return requests
+            socket.use {
+                val reader = it.getInputStream().bufferedReader()
+                while (true) {
+                    val head = generateSequence { reader.readLine() }.takeWhile { line -> line.isNotEmpty() }.toList()
+                    if (head.isEmpty()) break
+                    requests++
+                    val length = head.first { line -> line.startsWith("Content-Length") }.substringAfter(": ").toInt()
+                    repeat(length) { reader.read() }
+                    if (requests > 1) break
+                    it.getOutputStream().write("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n1".toByteArray())
+                }
+            }
+        }
+    }
+
+    private fun answered(
+        body: String,
+        check: (CallEnd) -> Unit,
+    ) = UpstreamStandIn { answer(it, body) }.use { check(run(it.announcement())) }
+
+    private fun run(
+        upstream: UpstreamAnnouncement,
+        remainingMillis: Long = 10_000,
+        client: HttpUpstreamClient = HttpUpstreamClient(),
+    ): CallEnd {
+        val end = CompletableFuture<CallEnd>()
+        client.run(upstream, start(0).attempt.task, start(0).specification, remainingMillis) { end.complete(it) }
+        return end.get(DEADLINE_MILLIS, TimeUnit.MILLISECONDS)
+    }
+
+    private fun failed(detail: String) =
+        CallEnd.Ended(TaskOutcome.Ended(Verdict.Failed(Reason.UPSTREAM_FAILED, detail)))
+
+    private fun lost(detail: String): CallEnd =
+        CallEnd.Ended(TaskOutcome.Ended(Verdict.MayHaveRun(Reason.UPSTREAM_LOST, detail)))
+
+    private companion object {
+        const val DEADLINE_MILLIS = 20_000L
+    }
+}
--- a/egretlock-agent/src/test/kotlin/io/egretlock/agent/UpstreamStandIn.kt
+++ b/egretlock-agent/src/test/kotlin/io/egretlock/agent/UpstreamStandIn.kt
@@ -8,6 +8,7 @@
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.CopyOnWriteArrayList
 import java.util.concurrent.Executors
+import java.util.concurrent.TimeUnit
 
 /** An upstream for tests: records every request and answers as [respond] says. */
 internal class UpstreamStandIn(
@@ -31,6 +32,15 @@
     fun announcement(slots: Int = 2): UpstreamAnnouncement =
         UpstreamAnnouncement(ServiceName("net-check"), slots, 64, "http://127.0.0.1:${server.address.port}")
 
+    /** Waits until [count] requests have arrived. */
+    fun awaitRequest(count: Int = 1) {
+        val deadlineNanos = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(EntryStandIn.DEADLINE_MILLIS)
+        while (requests.size < count) {
+            check(System.nanoTime() < deadlineNanos) { "Only ${requests.size} requests arrived." }
+            Thread.sleep(POLL_MILLIS)
+        }
+    }
+
     override fun close() {
         server.stop(0)
         threads.shutdownNow()
@@ -44,6 +54,8 @@
     }
 
     companion object {
+        private const val POLL_MILLIS = 5L
+
         /** Answers with [status] and [body]. */
         fun answer(
             exchange: HttpExchange,
--- a/egretlock-core/src/main/kotlin/io/egretlock/core/gate/SlotLedger.kt
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/gate/SlotLedger.kt
@@ -68,6 +68,12 @@
         return distribute() + recallExcess()
     }
 
+    /** Takes all slots and all credits away; running tasks keep theirs until they end. */
+    fun withdraw() {
+        slots = 0
+        holders.values.forEach { it.clear() }
+    }
+
     /** Adds an entry, which asks for an even share until it says what it wants. */
     fun connected(entry: ProcessId): List<CreditAction> {
         val holder = Holder(entry)
@@ -200,6 +206,13 @@
         val spare: Int
             get() = if (asks) 0 else unused - requested
 
+        fun clear() {
+            granted = 0
+            requested = 0
+            recalled = 0
+            recalls.clear()
+        }
+
         fun ask(count: Int) {
             wanted = count
             asks = count > 0
--- a/egretlock-core/src/main/kotlin/io/egretlock/core/gate/StartGate.kt
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/gate/StartGate.kt
@@ -40,22 +40,24 @@
     private val limits: GateLimits = GateLimits(),
 ) {
     private val records = HashMap<TaskId, TaskRecord>()
+    private val runningTasks = LinkedHashSet<TaskId>()
+    private val answers = LinkedHashMap<TaskId, KeptAnswer>()
     private val expiries = ArrayDeque<Expiry>()
 
     /** Tasks handed to the upstream that have not ended. */
     val running: Set<TaskId>
-        get() = records.filterValues { it is TaskRecord.Running }.keys
+        get() = runningTasks
 
-    /** Answers that wait for an acknowledgement. */
+    /** Answers that wait for an acknowledgement, oldest first. */
     val unacknowledged: List<KeptAnswer>
-        get() = records.values.filterIsInstance<TaskRecord.Finished>().map { it.answer }
+        get() = answers.values.toList()
 
     /** Tasks remembered. */
     val size: Int
         get() = records.size
 
     /** Whether [task] was handed to the upstream and has not ended. */
-    fun isRunning(task: TaskId): Boolean = records[task] is TaskRecord.Running
+    fun isRunning(task: TaskId): Boolean = task in runningTasks
 
     /** Records [attempt] for [owner] as started if the task may start now. */
     fun start(
@@ -146,8 +148,8 @@
         owner: ProcessId,
         nowMillis: Long,
     ) {
-        val stale = records.filterValues { it is TaskRecord.Finished && it.answer.owner.precedes(owner) }
-        stale.forEach { (task, record) -> settle(task, record, nowMillis) }
+        val stale = answers.filterValues { it.owner.precedes(owner) }.keys
+        stale.forEach { task -> settle(task, records.getValue(task), nowMillis) }
     }
 
     /** Forgets what has been remembered for longer than the retention period. */
@@ -175,7 +177,7 @@
         owner: ProcessId,
         attempt: TaskAttempt,
     ): StartDecision {
-        records[attempt.task] = TaskRecord.Running(attempt.attempt, owner)
+        put(attempt.task, TaskRecord.Running(attempt.attempt, owner))
         return StartDecision.ADMITTED
     }
 
@@ -204,12 +206,12 @@
     ): AttemptState =
         when (record) {
             is TaskRecord.Running -> {
-                records[task] = record.copy(owner = owner)
+                put(task, record.copy(owner = owner))
                 AttemptState.RUNNING
             }
 
             is TaskRecord.Finished -> {
-                records[task] = record.copy(answer = record.answer.copy(owner = owner))
+                put(task, record.copy(answer = record.answer.copy(owner = owner)))
                 AttemptState.FINISHED
             }
 
@@ -234,10 +236,19 @@
         record: TaskRecord,
     ) {
         val endedAtMillis = checkNotNull(record.endedAtMillis)
-        records[task] = record
+        put(task, record)
         expiries.addLast(Expiry(task, endedAtMillis, endedAtMillis + limits.retentionMillis))
     }
 
+    private fun put(
+        task: TaskId,
+        record: TaskRecord,
+    ) {
+        records[task] = record
+        if (record is TaskRecord.Running) runningTasks += task else runningTasks -= task
+        if (record is TaskRecord.Finished) answers[task] = record.answer else answers -= task
+    }
+
     private fun TaskRecord?.hasStarted(): Boolean = this != null && this !is TaskRecord.Revoked
 
     private fun ProcessId.precedes(other: ProcessId): Boolean = name == other.name && incarnation < other.incarnation
--- a/egretlock-protocol/src/main/kotlin/io/egretlock/protocol/Link.kt
+++ b/egretlock-protocol/src/main/kotlin/io/egretlock/protocol/Link.kt
@@ -32,7 +32,8 @@
  * How a [Link] finds out that its connection has gone silent.
  *
  * @property heartbeatMillis interval between heartbeats in each direction.
- * @property silenceMillis time without any frame from the other end after which the connection is given up.
+ * @property silenceMillis time without any frame, or without a reply to any heartbeat, from the other end after which
+ * the connection is given up.
  * @property connectMillis time allowed for opening a connection.
  * @property largestFrameBytes longest frame body accepted; a longer one ends the connection.
  */
@@ -57,6 +58,7 @@
     private val outgoing = Channel<Message>(Channel.UNLIMITED)
     private val received = Channel<Message>(Channel.UNLIMITED)
     private val lastHeardNanos = AtomicLong(System.nanoTime())
+    private val lastReplyNanos = AtomicLong(System.nanoTime())
     private val tasks: List<Job>
 
     /** Messages of the other end, without heartbeats. */
@@ -109,7 +111,7 @@
     private fun deliver(message: Message) {
         when (message) {
             is Heartbeat -> send(HeartbeatReply(message.sequence))
-            is HeartbeatReply -> Unit
+            is HeartbeatReply -> lastReplyNanos.set(System.nanoTime())
             else -> received.trySend(message)
         }
     }
@@ -148,8 +150,14 @@
         logger.debug { "Connection silent for ${silentMillis()} ms." }
     }
 
-    /** Time since the last frame of the other end, in milliseconds. */
-    fun silentMillis(): Long = (System.nanoTime() - lastHeardNanos.get()) / NANOS_PER_MILLI
+    /**
+     * Time, in milliseconds, since the other end was last heard or last confirmed that it hears this end, whichever is
+     * longer ago.
+     */
+    fun silentMillis(): Long {
+        val nowNanos = System.nanoTime()
+        return maxOf(nowNanos - lastHeardNanos.get(), nowNanos - lastReplyNanos.get()) / NANOS_PER_MILLI
+    }
 
     companion object {
         private const val NANOS_PER_MILLI = 1_000_000L
--- a/egretlock-protocol/src/main/kotlin/io/egretlock/protocol/Message.kt
+++ b/egretlock-protocol/src/main/kotlin/io/egretlock/protocol/Message.kt
@@ -148,14 +148,17 @@
     val count: Int,
 ) : Message
 
-/** Agent to entry: what the upstream announces now. Null when it has left or is leaving. */
+/**
+ * Agent to entry: what the upstream announces now. Null when it has left, is leaving or can't be reached: all credits
+ * granted before have then ended.
+ */
 @Serializable
 @SerialName("upstream-update")
 data class UpstreamUpdate(
     val announcement: UpstreamAnnouncement?,
 ) : Message
 
-/** Agent to entry: [count] more tasks may be started. Credits end with the connection they were granted on. */
+/** Agent to entry: [count] more tasks may be started. Credits end with the connection they were granted on, and with an [UpstreamUpdate] without announcement. */
 @Serializable
 @SerialName("credit-grant")
 data class CreditGrant(
--- a/egretlock-protocol/src/test/kotlin/io/egretlock/protocol/LinkTest.kt
+++ b/egretlock-protocol/src/test/kotlin/io/egretlock/protocol/LinkTest.kt
@@ -11,6 +11,10 @@
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertNull
 import org.junit.jupiter.api.Test
+import java.io.DataOutputStream
+import java.net.ServerSocket
+import java.net.Socket
+import kotlin.concurrent.thread
 
 class LinkTest {
     @Test
@@ -28,6 +32,33 @@
             assertNull(far.incoming.receiveCatching().getOrNull())
         }
 
+    @Test
+    fun `given an other end that is heard but does not hear, when heartbeats stay unanswered, then messages end`() =
+        runBlocking(Dispatchers.Default) {
+            SelectorManager(Dispatchers.IO).use { selector ->
+                ServerSocket(0).use { server ->
+                    val deaf = thread(isDaemon = true) { sendHeartbeatsForever(server.accept()) }
+                    val timing = LinkTiming(heartbeatMillis = 20, silenceMillis = 300)
+                    val link = Link.dial(NodeAddress("127.0.0.1", server.localPort), selector, this, timing)
+                    withTimeout(DEADLINE_MILLIS) { assertNull(link.incoming.receiveCatching().getOrNull()) }
+                    deaf.interrupt()
+                }
+            }
+        }
+
+    private fun sendHeartbeatsForever(socket: Socket) =
+        socket.use {
+            val output = DataOutputStream(it.getOutputStream())
+            val frame = MessageCodec.encode(Heartbeat(1))
+            runCatching {
+                while (true) {
+                    output.writeInt(frame.size)
+                    output.write(frame)
+                    Thread.sleep(10)
+                }
+            }
+        }
+
     private fun withLinkPair(body: suspend (Link, Link) -> Unit) =
         runBlocking(Dispatchers.Default) {
             SelectorManager(Dispatchers.IO).use { selector ->
