Answer 413 as a problem when a body is above the limit

Cause: RefusalTest, 'given a body above the limit': Javalin 7.2.3 throws HttpResponseException itself with status 413, not ContentTooLargeResponse, so the handler never matched and the answer was plain text without a verdict. Ruled out: a closed connection; the client read status 413 with the text 'Content Too Large'. Change: the handler takes HttpResponseException and looks at its status. Conclusion: the refusal carries its verdict.

--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/JobRoutes.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/JobRoutes.kt
@@ -8,8 +8,8 @@
 import io.egretlock.core.job.Verdict
 import io.egretlock.protocol.JobState
 import io.javalin.config.JavalinConfig
-import io.javalin.http.ContentTooLargeResponse
 import io.javalin.http.Context
+import io.javalin.http.HttpResponseException
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.future.future
 import kotlinx.serialization.encodeToString
@@ -29,7 +29,7 @@
         config.routes.put(PATH) { context -> counted(context) { submit(context) } }
         config.routes.get(PATH) { context -> counted(context) { state(context) } }
         config.routes.delete(PATH) { context -> counted(context) { cancel(context) } }
-        config.routes.exception(ContentTooLargeResponse::class.java) { _, context -> tooLarge(context) }
+        config.routes.exception(HttpResponseException::class.java, ::refuse)
     }
 
     private suspend fun submit(context: Context) {
@@ -107,6 +107,15 @@
         context.status(problem.status).contentType(Problem.MEDIA_TYPE).result(json.encodeToString(problem))
     }
 
+    /** Javalin throws this type itself, not a subtype, where a body is larger than the limit. */
+    private fun refuse(
+        exception: HttpResponseException,
+        context: Context,
+    ) {
+        if (exception.status == HttpStatus.CONTENT_TOO_LARGE) return tooLarge(context)
+        context.status(exception.status).result(exception.message.orEmpty())
+    }
+
     /** Reads a bounded rest of the body first: a connection that is closed before that loses the answer. */
     private fun tooLarge(context: Context) {
         val body = context.req().inputStream
--- a/egretlock-testing/src/test/kotlin/io/egretlock/testing/proof/RefusalTest.kt
+++ b/egretlock-testing/src/test/kotlin/io/egretlock/testing/proof/RefusalTest.kt
@@ -118,8 +118,10 @@
     private fun refusal(
         body: String,
         id: String = Jobs.id(),
-    ): JobReply.Refused =
-        assertInstanceOf(JobReply.Refused::class.java, system.submitText(system.entries.first(), id, body))
+    ): JobReply.Refused {
+        val reply = system.submitText(system.entries.first(), id, body)
+        return assertInstanceOf(JobReply.Refused::class.java, reply) { "$reply" }
+    }
 
     private fun body(
         team: String = TEAM,
