--- a/egretlock-testing/src/main/kotlin/io/egretlock/testing/audit/VerdictAudit.kt
+++ b/egretlock-testing/src/main/kotlin/io/egretlock/testing/audit/VerdictAudit.kt
@@ -29,7 +29,7 @@
         when (val reply = submission.reply) {
             is JobReply.Complete -> answerViolations(submission, reply)
             is JobReply.Refused -> listOfNotNull(verdictViolation(submission.id, reply.problem.verdict))
-            is JobReply.Lost -> emptyList()
+            is JobReply.Lost, is JobReply.Unreachable -> emptyList()
         }
 
     private fun answerViolations(
@@ -61,7 +61,7 @@
     /** "May have run" agrees with everything, because whoever says it does not know. */
     private fun contradictions(): List<Violation> =
         submissions
-            .filter { it.reply !is JobReply.Lost }
+            .filter { it.reply is JobReply.Complete || it.reply is JobReply.Refused }
             .groupBy({ it.id }, { (it.reply as? JobReply.Refused)?.problem?.verdict })
             .mapValues { (_, verdicts) -> verdicts.toSet() - ProblemVerdict.MAY_HAVE_RUN }
             .filterValues { it.size > 1 }
--- a/egretlock-testing/src/main/kotlin/io/egretlock/testing/client/CallerClient.kt
+++ b/egretlock-testing/src/main/kotlin/io/egretlock/testing/client/CallerClient.kt
@@ -11,6 +11,7 @@
 import okhttp3.RequestBody.Companion.toRequestBody
 import okhttp3.Response
 import java.io.IOException
+import java.net.ConnectException
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.TimeUnit
 
@@ -84,7 +85,7 @@
             call: Call,
             e: IOException,
         ) {
-            reply.complete(JobReply.Lost(e.toString()))
+            reply.complete(if (e is ConnectException) JobReply.Unreachable("$e") else JobReply.Lost("$e"))
         }
 
         override fun onResponse(
--- a/egretlock-testing/src/main/kotlin/io/egretlock/testing/client/JobReply.kt
+++ b/egretlock-testing/src/main/kotlin/io/egretlock/testing/client/JobReply.kt
@@ -19,6 +19,11 @@
         val retryAfterSeconds: Long?,
     ) : JobReply
 
+    /** No connection could be opened, so that nothing was sent. */
+    data class Unreachable(
+        val cause: String,
+    ) : JobReply
+
     /** No whole answer arrived: the connection failed or the body makes no sense. */
     data class Lost(
         val cause: String,
--- a/egretlock-testing/src/main/kotlin/io/egretlock/testing/demo/Demo.kt
+++ b/egretlock-testing/src/main/kotlin/io/egretlock/testing/demo/Demo.kt
@@ -93,6 +93,7 @@
             }
             is JobReply.Refused -> println("Refused with status ${reply.status}: ${reply.problem}")
             is JobReply.Lost -> println("No answer: ${reply.cause}")
+            is JobReply.Unreachable -> println("No connection: ${reply.cause}")
         }
         return reply is JobReply.Complete
     }
