Let operators read and edit settings at an entry, and pass them on by revision

Cause: settings could only be changed by writing to the store by hand, unchecked, and an entry took whatever a read at an interval returned, also from an older state. Ruled out: telling agents only (an entry that starts in a store outage would know nothing); an entity tag from the store on each GET (reading has to work in an outage). Settings marked secret are left out of fault messages.

--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/EntryEvent.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/EntryEvent.kt
@@ -19,6 +19,10 @@
     PEER_DISCONNECTED(1111, Level.WARN, "Connection to another entry ended."),
     SETTINGS_APPLIED(1200, Level.INFO, "Settings of a team are in force."),
     SETTINGS_UNREADABLE(1201, Level.ERROR, "Stored settings of a team cannot be read; the earlier ones stay."),
+    SETTINGS_WATCHED(1202, Level.INFO, "All settings were read; the store is watched from there."),
+    SETTINGS_WATCH_INTERRUPTED(1203, Level.WARN, "The watch of the settings ended and begins again."),
+    SETTINGS_EDITED(1204, Level.INFO, "An operator's edit of settings ended."),
+    STORE_OLDER_STATE(1205, Level.ERROR, "The store answered from an older state, which is not followed."),
     STORE_UNAVAILABLE(1300, Level.WARN, "The key-value service did not answer."),
     ROSTER_ADOPTED(1400, Level.INFO, "A roster was adopted."),
 }
--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/EntryProcess.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/EntryProcess.kt
@@ -8,12 +8,18 @@
 import io.egretlock.core.roster.EntryMember
 import io.egretlock.core.roster.Roster
 import io.egretlock.core.settings.StoredTeamSettings
+import io.egretlock.platform.BudgetedStore
 import io.egretlock.platform.KeyValueStore
+import io.egretlock.platform.StoreCallBudget
+import io.egretlock.platform.StoreCallLimits
+import io.egretlock.platform.settings.SettingsEditor
+import io.egretlock.platform.settings.SettingsWatcher
 import io.egretlock.process.Inspectable
 import io.egretlock.process.OperatorsRoutes
 import io.egretlock.process.event
 import io.egretlock.protocol.EntryHello
 import io.egretlock.protocol.LinkListener
+import io.egretlock.protocol.SettingsUpdate
 import io.github.oshai.kotlinlogging.KotlinLogging
 import io.javalin.Javalin
 import io.javalin.config.JavalinConfig
@@ -36,25 +42,30 @@
 /** One entry: its parts, how they are connected, and their start and graceful shutdown. */
 internal class EntryProcess(
     private val settings: EntrySettings,
-    store: KeyValueStore,
+    platformStore: KeyValueStore,
 ) : Inspectable {
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
     private val selector = SelectorManager(Dispatchers.IO)
     private val self = EntryMember(ProcessId(settings.name, System.currentTimeMillis()), settings.advertisedLinkAddress)
     private val registry = PrometheusRegistry()
+    private val store = BudgetedStore(platformStore, StoreCallBudget(StoreCallLimits(), registry))
     private val drain = Drain()
     private val metrics = EntryMetrics(registry)
     private val jobs = Home(ServiceDispatchers { service -> fairDispatcher(service) })
     private val home = HomeTask(self.entry, jobs, metrics, ::monotonicMillis)
-    private val peers = PeerConnections(EntryHello(self.entry, self.address), selector, settings.timing, scope)
-    private val storeReader = StoreReader(store, self, ::rosterAdopted) { home.send(HomeInput.Settings(it)) }
+    private val settingsKeeper = SettingsKeeper(::settingsChanged)
+    private val settingsWatcher = SettingsWatcher(store, listener = SettingsWatchLog())
+    private val peers =
+        PeerConnections(EntryHello(self.entry, self.address), settingsKeeper, selector, settings.timing, scope)
+    private val storeReader = StoreReader(store, self, ::rosterAdopted)
     private val router = JobRouter(storeReader, home, peers)
-    private val linkServer = LinkServer(self.entry, home, router, knowledge(), scope)
+    private val linkServer = LinkServer(self.entry, home, router, knowledge(), settingsKeeper, scope)
     private val callers = server { config -> JobRoutes(router, drain, metrics, scope).addTo(config) }
     private val operators =
         server { config ->
             OperatorsRoutes(this, registry, settings.operatorToken).addTo(config)
             OutcomeRoutes(router, ::otherMembers, scope).addTo(config)
+            SettingsRoutes(settingsKeeper, SettingsEditor(store), settings.teamTokens, drain, scope).addTo(config)
         }
     private var listener: LinkListener? = null
 
@@ -66,6 +77,7 @@
         metrics.observeLiveJobs { jobs.liveJobs }
         scope.launch { home.run() }
         scope.launch { storeReader.run() }
+        scope.launch { settingsKeeper.run(settingsWatcher.updates()) }
         scope.launch { tick() }
         listener = LinkListener.bind(settings.linkAddress, selector, scope, settings.timing, linkServer::serve)
         callers.start(settings.callersAddress.host, settings.callersAddress.port)
@@ -108,6 +120,11 @@
         if (position >= 0) home.send(HomeInput.EntriesChanged(EntryShare(position, roster.members.size)))
     }
 
+    private fun settingsChanged(applied: List<StoredTeamSettings>) {
+        applied.forEach { home.send(HomeInput.Settings(it)) }
+        otherMembers().forEach { peers.tell(it, SettingsUpdate(applied)) }
+    }
+
     private fun otherMembers(): List<EntryMember> =
         storeReader
             .rosters()
@@ -127,7 +144,7 @@
         object : SharedKnowledge {
             override fun rosters(): List<Roster> = storeReader.rosters()
 
-            override fun settings(): List<StoredTeamSettings> = storeReader.settings()
+            override fun settings(): List<StoredTeamSettings> = settingsKeeper.table.all()
         }
 
     private fun server(routes: (JavalinConfig) -> Unit): Javalin =
--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/EntrySettings.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/EntrySettings.kt
@@ -16,6 +16,7 @@
  * @property advertisedLinkAddress where agents and other entries dial; differs behind an address translation.
  * @property storeAddresses addresses of the platform's key-value service.
  * @property operatorToken bearer token for the inspection routes; null where their address is local.
+ * @property teamTokens with which operators edit a team's settings; a team without a token can't be edited here.
  * @property drainMillis longest time that a graceful shutdown may take.
  */
 data class EntrySettings(
@@ -27,6 +28,7 @@
     val advertisedLinkAddress: NodeAddress,
     val storeAddresses: List<NodeAddress>,
     val operatorToken: String?,
+    val teamTokens: TeamTokens,
     val timing: LinkTiming,
     val drainMillis: Long,
     val logFormat: LogFormat,
@@ -40,7 +42,10 @@
         private val ADVERTISED_LINK =
             Setting("advertised-link-address", "Address told to agents and entries, if not the link address.")
         private val STORE = Setting("store-address", "URLs of the key-value service, separated by commas.")
-        private val TOKEN = Setting("operator-token", "Bearer token for inspection; needed if not on loopback.")
+        private val TOKEN =
+            Setting("operator-token", "Bearer token for inspection; needed if not on loopback.", secret = true)
+        private val TEAM_TOKENS =
+            Setting("team-tokens", "Tokens for editing settings, as team=token,team=token.", secret = true)
         private val HEARTBEAT = Setting("heartbeat-millis", "Interval between heartbeats.", "500")
         private val SILENCE = Setting("silence-millis", "Silence that ends a connection.", "2000")
         private val DRAIN = Setting("drain-millis", "Longest graceful shutdown.", "30000")
@@ -60,6 +65,7 @@
                 ADVERTISED_LINK,
                 STORE,
                 TOKEN,
+                TEAM_TOKENS,
                 HEARTBEAT,
                 SILENCE,
                 DRAIN,
@@ -80,6 +86,7 @@
                 advertisedLinkAddress = reader.address(advertisedLink(reader)),
                 storeAddresses = storeAddresses(reader),
                 operatorToken = operatorToken(reader),
+                teamTokens = teamTokens(reader),
                 timing =
                     LinkTiming(
                         heartbeatMillis = reader.number(HEARTBEAT, HEARTBEAT_RANGE_MILLIS),
@@ -114,6 +121,12 @@
             }
         }
 
+        private fun teamTokens(reader: SettingReader): TeamTokens {
+            val none = TeamTokens(emptyMap())
+            if (reader.optional(TEAM_TOKENS) == null) return none
+            return reader.read(TEAM_TOKENS, TeamTokens.ALLOWED, none, TeamTokens::parse)
+        }
+
         private const val SHORTEST_TOKEN = 16
     }
 }
--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/LinkServer.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/LinkServer.kt
@@ -17,6 +17,7 @@
 import io.egretlock.protocol.Message
 import io.egretlock.protocol.OutcomesReply
 import io.egretlock.protocol.OutcomesRequest
+import io.egretlock.protocol.SettingsUpdate
 import io.egretlock.protocol.Welcome
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.launch
@@ -27,6 +28,7 @@
     private val home: HomeTask,
     private val router: JobRouter,
     private val knowledge: SharedKnowledge,
+    private val settings: SettingsKeeper,
     private val scope: CoroutineScope,
 ) {
     /** Serves one connection until it ends. */
@@ -45,7 +47,10 @@
     ) {
         link.send(welcome())
         home.send(opened(link, hello))
-        for (message in link.incoming) home.send(HomeInput.FromAgent(link, hello.agent, message))
+        for (message in link.incoming) {
+            if (message is SettingsUpdate) settings.learned(message.settings)
+            home.send(HomeInput.FromAgent(link, hello.agent, message))
+        }
         home.send(HomeInput.AgentClosed(link, hello.agent))
     }
 
@@ -76,6 +81,7 @@
                 link.send(ForwardReply(message.request, router.submitHere(message.job, message.remainingMillis)))
             is ForwardCancel -> link.send(ForwardReply(message.request, router.cancelHere(message.job) ?: unknownJob()))
             is ForwardQuery -> link.send(ForwardStateReply(message.request, router.stateHere(message.job)))
+            is SettingsUpdate -> settings.learned(message.settings)
             is OutcomesRequest -> link.send(OutcomesReply(message.request, router.outcomesHere(message.team)))
             else -> Unit
         }
--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/PeerConnection.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/PeerConnection.kt
@@ -7,6 +7,8 @@
 import io.egretlock.protocol.LinkTiming
 import io.egretlock.protocol.Message
 import io.egretlock.protocol.ReplyMessage
+import io.egretlock.protocol.SettingsUpdate
+import io.egretlock.protocol.Welcome
 import io.github.oshai.kotlinlogging.KotlinLogging
 import io.ktor.network.selector.SelectorManager
 import kotlinx.coroutines.CancellationException
@@ -27,6 +29,7 @@
 internal class PeerConnection(
     private val member: EntryMember,
     private val hello: EntryHello,
+    private val settings: SettingsKeeper,
     private val selector: SelectorManager,
     private val timing: LinkTiming,
     private val scope: CoroutineScope,
@@ -103,6 +106,7 @@
     private suspend fun serve(link: Link) {
         unreachableSinceNanos = null
         link.send(hello)
+        link.send(SettingsUpdate(settings.table.all()))
         pending.values.forEach { link.send(it.message) }
         logger.event(EntryEvent.PEER_CONNECTED, "peer" to member.entry)
         while (serveOne(link)) Unit
@@ -139,6 +143,8 @@
     private fun received(message: Message) {
         when (message) {
             is ReplyMessage -> pending.remove(message.request)?.reply?.complete(message)
+            is Welcome -> settings.learned(message.settings)
+            is SettingsUpdate -> settings.learned(message.settings)
             else -> Unit
         }
     }
--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/PeerConnections.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/PeerConnections.kt
@@ -14,6 +14,7 @@
 /** The connections that this entry dials to other entries, made when first needed. */
 internal class PeerConnections(
     private val hello: EntryHello,
+    private val settings: SettingsKeeper,
     private val selector: SelectorManager,
     private val timing: LinkTiming,
     private val scope: CoroutineScope,
@@ -44,6 +45,6 @@
 
     private fun connection(member: EntryMember): PeerConnection =
         connections.computeIfAbsent(member.entry) {
-            PeerConnection(member, hello, selector, timing, scope).also { it.start() }
+            PeerConnection(member, hello, settings, selector, timing, scope).also { it.start() }
         }
 }
--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/StoreReader.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/StoreReader.kt
@@ -6,40 +6,29 @@
 import io.egretlock.core.job.Verdict
 import io.egretlock.core.roster.EntryMember
 import io.egretlock.core.roster.Roster
-import io.egretlock.core.settings.StoredTeamSettings
-import io.egretlock.core.settings.TeamSettings
 import io.egretlock.platform.KeyValueStore
-import io.egretlock.platform.StoreEntry
 import io.egretlock.platform.StoreException
 import io.egretlock.platform.SwapResult
 import io.egretlock.process.event
 import io.github.oshai.kotlinlogging.KotlinLogging
 import kotlinx.coroutines.delay
-import kotlinx.serialization.SerializationException
 import kotlinx.serialization.encodeToString
 import kotlinx.serialization.json.Json
 
 private val logger = KotlinLogging.logger {}
 
-/** Reads settings and the roster from the store at a fixed interval, and joins the roster. */
+/** Reads the roster from the store at a fixed interval, and joins it. */
 internal class StoreReader(
     private val store: KeyValueStore,
     private val self: EntryMember,
     private val rosterAdopted: (Roster) -> Unit,
-    private val settingsChanged: (StoredTeamSettings) -> Unit,
 ) : JobLocator {
     @Volatile
     private var roster: Roster? = null
 
-    @Volatile
-    private var settings: List<StoredTeamSettings> = emptyList()
-
     /** The roster last read. */
     fun rosters(): List<Roster> = listOfNotNull(roster)
 
-    /** The settings last read. */
-    fun settings(): List<StoredTeamSettings> = settings
-
     /** Reads until cancelled. */
     suspend fun run() {
         while (true) {
@@ -66,26 +55,12 @@
 
     private suspend fun readOnce() {
         try {
-            readSettings()
             readRoster()
         } catch (failure: StoreException) {
             logger.event(EntryEvent.STORE_UNAVAILABLE, "cause" to failure.message)
         }
     }
 
-    private suspend fun readSettings() {
-        settings = store.read(SETTINGS_PREFIX).entries.mapNotNull(::settingsOf)
-        settings.forEach(settingsChanged)
-    }
-
-    private fun settingsOf(entry: StoreEntry): StoredTeamSettings? =
-        try {
-            entry.value?.let { StoredTeamSettings(entry.revision, json.decodeFromString<TeamSettings>(it)) }
-        } catch (fault: SerializationException) {
-            logger.event(EntryEvent.SETTINGS_UNREADABLE, "key" to entry.key, "cause" to fault.message)
-            null
-        }
-
     private suspend fun readRoster() {
         val entry = store.read(ROSTER_KEY).entries.firstOrNull { it.key == ROSTER_KEY }
         val stored = entry?.value?.let { json.decodeFromString<Roster>(it) }
@@ -111,7 +86,6 @@
     private companion object {
         const val READ_INTERVAL_MILLIS = 500L
         const val RETRY_MILLIS = 1_000L
-        const val SETTINGS_PREFIX = "/egretlock/settings/"
         const val ROSTER_KEY = "/egretlock/roster"
         const val GOLDEN_RATIO_MULTIPLIER = -1_640_531_527
         val json = Json { ignoreUnknownKeys = true }
--- a/egretlock-process/src/main/kotlin/io/egretlock/process/Setting.kt
+++ b/egretlock-process/src/main/kotlin/io/egretlock/process/Setting.kt
@@ -5,12 +5,14 @@
  *
  * @property flag long name of the flag, without dashes.
  * @property description what it means, for `--help`.
+ * @property secret whether its value must not be shown.
  * @property default value used when neither flag nor variable is given; null if the setting is then absent.
  */
 data class Setting(
     val flag: String,
     val description: String,
     val default: String? = null,
+    val secret: Boolean = false,
 ) {
     /** Name of the environment variable: `store-address` is `EGRETLOCK_STORE_ADDRESS`. */
     val variable: String = "EGRETLOCK_" + flag.uppercase().replace('-', '_')
@@ -23,7 +25,12 @@
     val allowed: String,
 ) {
     override fun toString(): String =
-        "--${setting.flag} (${setting.variable}): ${value?.let {
-            "'$it'"
-        } ?: "missing"} is not allowed; allowed: $allowed."
+        "--${setting.flag} (${setting.variable}): ${shown()} is not allowed; allowed: $allowed."
+
+    private fun shown(): String =
+        when {
+            value == null -> "missing"
+            setting.secret -> "the value, which is secret,"
+            else -> "'$value'"
+        }
 }
