--- a/egretlock-testing/src/main/kotlin/io/egretlock/testing/system/EntryNode.kt
+++ b/egretlock-testing/src/main/kotlin/io/egretlock/testing/system/EntryNode.kt
@@ -43,6 +43,7 @@
                 "--heartbeat-millis" to timing.heartbeatMillis,
                 "--silence-millis" to timing.silenceMillis,
                 "--drain-millis" to timing.drainMillis,
+                "--team-tokens" to TEAMS.joinToString(",") { "$it=${tokenOf(it)}" },
             ) + advertised()
         val arguments = flags.flatMap { (flag, value) -> listOf(flag, value.toString()) }
         process = launcher.binary("egretlock-entry", name, listOf("run") + arguments)
@@ -53,6 +54,14 @@
     }
 
     private fun advertised() = if (link == null) emptyList() else listOf("--advertised-link-address" to dialledAddress)
+
+    /** The teams whose settings can be edited at an entry. */
+    companion object {
+        private val TEAMS = listOf("haddad", "reti-etnee")
+
+        /** Token with which the operators of [team] edit its settings. */
+        fun tokenOf(team: String): String = "token-of-the-operators-of-$team"
+    }
 }
 
 internal fun freeAddress() = NodeAddress("127.0.0.1", ProcessLauncher.freePort())
