Keep only the claim of an ended job

Cause: the home kept every ended job whole, payloads included, for 15 minutes. Ruled out: forgetting claims with the answers (a late resubmission would run again). Change: an ended job becomes a claim (id, 128-bit digest of the body, outcome) in a table with two retentions, for answers and for ids, that can be exported to an heir; the job itself goes once no agent has a task of it.

--- a/egretlock-core/src/main/kotlin/io/egretlock/core/home/Home.kt
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/home/Home.kt
@@ -1,5 +1,7 @@
 package io.egretlock.core.home
 
+import io.egretlock.core.claim.BodyDigest
+import io.egretlock.core.claim.HandedClaim
 import io.egretlock.core.gate.TaskAttempt
 import io.egretlock.core.job.Job
 import io.egretlock.core.job.JobId
@@ -8,6 +10,7 @@
 import io.egretlock.core.job.Reason
 import io.egretlock.core.job.TaskId
 import io.egretlock.core.job.TaskOutcome
+import io.egretlock.core.job.Verdict
 import io.egretlock.core.placement.Admission
 import io.egretlock.core.placement.AgentView
 import io.egretlock.core.placement.EntryShare
@@ -23,7 +26,7 @@
     private val dispatchers: ServiceDispatchers,
     private val limits: HomeLimits = HomeLimits(),
 ) {
-    private val jobs = HomeJobs(limits.retentionMillis)
+    private val jobs = HomeJobs(limits.retention)
     private val agents = HomeAgents()
     private val effects = mutableListOf<HomeEffect>()
 
@@ -31,9 +34,9 @@
     val liveJobs: Int
         get() = jobs.live
 
-    /** Jobs that are known here, ended ones included. */
-    val knownJobs: Int
-        get() = jobs.known
+    /** Ended jobs that are remembered for resubmissions. */
+    val rememberedJobs: Int
+        get() = jobs.remembered
 
     /** Effects of the calls since the last drain, in order. */
     fun drain(nowMillis: Long): List<HomeEffect> {
@@ -54,11 +57,14 @@
         remainingMillis: Long,
         nowMillis: Long,
     ): Submission {
-        val known = jobs[job.id]
+        val live = jobs[job.id]?.takeIf { it.outcome == null }
+        val ended = jobs.ended(job.id)
+        val digest = live?.digest ?: ended?.digest
         return when {
-            known == null -> claim(job, remainingMillis, nowMillis)
-            known.job != job -> Submission.Ended(JobOutcome.WithoutAnswer(HomeVerdicts.conflict(job)))
-            else -> known.outcome?.let { Submission.Ended(it) } ?: Submission.Waiting
+            digest == null -> claim(job, remainingMillis, nowMillis)
+            digest != BodyDigest.of(job) -> Submission.Ended(JobOutcome.WithoutAnswer(HomeVerdicts.conflict(job)))
+            ended != null -> Submission.Ended(ended.outcome)
+            else -> Submission.Waiting
         }
     }
 
@@ -67,25 +73,28 @@
         job: JobId,
         nowMillis: Long,
     ): JobOutcome? {
-        val known = jobs[job] ?: return null
-        if (known.outcome ==
-            null
-        ) {
-            end(known, HomeVerdicts.cutShort(known, Reason.CANCELLED, "The caller cancelled the job."), nowMillis)
-        }
-        return known.outcome
+        val live = jobs[job]?.takeIf { it.outcome == null }
+        live?.let { end(it, HomeVerdicts.cutShort(it, Reason.CANCELLED, "The caller cancelled the job."), nowMillis) }
+        return jobs.ended(job)?.outcome
     }
 
     /** How far a job is; null if it is not known here. */
     fun state(job: JobId): JobProgress? =
-        jobs[job]?.let { known ->
-            when (known.outcome) {
-                null -> if (known.mayHaveStarted) JobProgress.RUNNING else JobProgress.QUEUED
-                is JobOutcome.Complete -> JobProgress.COMPLETE
-                is JobOutcome.WithoutAnswer -> JobProgress.WITHOUT_ANSWER
-            }
+        when (jobs.ended(job)?.outcome) {
+            is JobOutcome.Complete -> JobProgress.COMPLETE
+            is JobOutcome.WithoutAnswer -> JobProgress.WITHOUT_ANSWER
+            null -> jobs[job]?.let { if (it.mayHaveStarted) JobProgress.RUNNING else JobProgress.QUEUED }
         }
 
+    /** Claims of ended jobs, for an heir. */
+    fun exportClaims(nowMillis: Long): List<HandedClaim> = jobs.exportClaims(nowMillis)
+
+    /** Takes over the claims of a home that has stopped. */
+    fun importClaims(
+        handed: List<HandedClaim>,
+        nowMillis: Long,
+    ) = jobs.importClaims(handed, nowMillis)
+
     /**
      * An agent has connected, or announces something else; [view] is null while it has no upstream. An earlier
      * incarnation of the agent is given up.
@@ -138,15 +147,9 @@
         if (progress !is TaskProgress.Placed || progress.agent != agent) return
         agents.removed(agent, task)
         dispatchers.taskEnded(known.job.service, task, agent, runMillis, outcome is TaskOutcome.Succeeded, nowMillis)
-        if (known.outcome != null) return
         when (outcome) {
             is TaskOutcome.Succeeded -> answered(known, task, outcome.answer, nowMillis)
-            is TaskOutcome.Ended ->
-                end(
-                    known,
-                    JobOutcome.WithoutAnswer(HomeVerdicts.ranAndFailed(outcome.verdict)),
-                    nowMillis,
-                )
+            is TaskOutcome.Ended -> failed(known, task, outcome.verdict, nowMillis)
         }
     }
 
@@ -162,16 +165,16 @@
         agents.removed(agent, attempt.task)
         known.unplace(attempt.task.index)
         dispatchers.taskReturned(known.job.service, attempt.task, nowMillis)
+        jobs.forgetIfSettled(known)
     }
 
     /** Ends overdue jobs, gives up agents that stayed away, and forgets outcomes past their retention. */
     fun tick(nowMillis: Long) {
         agents.awayLongerThan(limits.agentGraceMillis, nowMillis).forEach { agentGone(it, nowMillis) }
-        jobs
-            .takeOverdue(
-                nowMillis,
-            ).forEach { end(it, HomeVerdicts.cutShort(it, Reason.DEADLINE, "The deadline has passed."), nowMillis) }
-        jobs.forgetExpired(nowMillis)
+        jobs.takeOverdue(nowMillis).forEach { overdue ->
+            end(overdue, HomeVerdicts.cutShort(overdue, Reason.DEADLINE, "The deadline has passed."), nowMillis)
+        }
+        jobs.expire(nowMillis)
         effects += dispatchers.tickCreditRequests()
     }
 
@@ -189,7 +192,7 @@
             is Admission.Admitted -> Submission.Waiting
             is Admission.Refused -> {
                 val outcome = JobOutcome.WithoutAnswer(admission.verdict)
-                jobs.ended(claimed, outcome, nowMillis)
+                jobs.end(claimed, outcome, nowMillis)
                 effects += HomeEffect.JobEnded(job.id, job.team, outcome)
                 Submission.Ended(outcome)
             }
@@ -235,6 +238,8 @@
             val known = jobs[task.job] ?: continue
             if (known.outcome == null) end(known, JobOutcome.WithoutAnswer(verdict), nowMillis)
             dispatchers.taskEnded(known.job.service, task, agent, null, succeeded = false, nowMillis)
+            known.unplace(task.index)
+            jobs.forgetIfSettled(known)
         }
     }
 
@@ -245,7 +250,20 @@
         nowMillis: Long,
     ) {
         known.answer(task.index, answer)
-        known.answers()?.let { end(known, JobOutcome.Complete(it), nowMillis) }
+        val answers = known.answers()
+        if (known.outcome == null && answers != null) end(known, JobOutcome.Complete(answers), nowMillis)
+        jobs.forgetIfSettled(known)
+    }
+
+    private fun failed(
+        known: HomeJob,
+        task: TaskId,
+        verdict: Verdict,
+        nowMillis: Long,
+    ) {
+        if (known.outcome == null) end(known, JobOutcome.WithoutAnswer(HomeVerdicts.ranAndFailed(verdict)), nowMillis)
+        known.unplace(task.index)
+        jobs.forgetIfSettled(known)
     }
 
     private fun end(
@@ -255,7 +273,7 @@
     ) {
         dispatchers.withdraw(known.job.service, known.job.id)
         known.placedTasks.forEach { (task, placed) -> effects += HomeEffect.CancelTask(placed.agent, task) }
-        jobs.ended(known, outcome, nowMillis)
+        jobs.end(known, outcome, nowMillis)
         effects += HomeEffect.JobEnded(known.job.id, known.job.team, outcome)
     }
 }
--- a/egretlock-core/src/main/kotlin/io/egretlock/core/home/HomeJob.kt
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/home/HomeJob.kt
@@ -1,5 +1,6 @@
 package io.egretlock.core.home
 
+import io.egretlock.core.claim.BodyDigest
 import io.egretlock.core.job.Job
 import io.egretlock.core.job.JobOutcome
 import io.egretlock.core.job.ProcessId
@@ -14,6 +15,13 @@
     private var answered = 0
     private var placed = 0
 
+    /** Digest that a resubmission must have. */
+    val digest = BodyDigest.of(job)
+
+    /** Whether an agent has a task of the job. */
+    val hasPlacedTasks: Boolean
+        get() = placed > 0
+
     /** How the job ended; null while it has not. */
     var outcome: JobOutcome? = null
 
@@ -40,6 +48,7 @@
         return attempt
     }
 
+    /** The task is not at its agent any more, and has no answer. */
     fun unplace(index: Int) {
         tasks[index] = TaskProgress.Waiting((tasks[index] as TaskProgress.Placed).attempt)
         placed--
--- a/egretlock-core/src/main/kotlin/io/egretlock/core/home/HomeJobs.kt
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/home/HomeJobs.kt
@@ -1,41 +1,59 @@
 package io.egretlock.core.home
 
+import io.egretlock.core.claim.ClaimRetention
+import io.egretlock.core.claim.ClaimTable
+import io.egretlock.core.claim.EndedClaim
+import io.egretlock.core.claim.HandedClaim
 import io.egretlock.core.job.JobId
 import io.egretlock.core.job.JobOutcome
 import java.util.PriorityQueue
 
-/** The jobs of a [Home] with the times at which each is overdue or may be forgotten, in monotonic milliseconds. */
+/**
+ * The jobs of a [Home]: those that have not ended or still have a task at an agent, and the claims of the ended ones.
+ * Times are monotonic milliseconds.
+ */
 internal class HomeJobs(
-    private val retentionMillis: Long,
+    retention: ClaimRetention,
 ) {
     private val jobs = linkedMapOf<JobId, HomeJob>()
-    private val deadlines = PriorityQueue<TimedJob>(compareBy { it.atMillis })
-    private val expiries = ArrayDeque<TimedJob>()
+    private val claims = ClaimTable(retention)
+    private val deadlines = PriorityQueue<Deadline>(compareBy { it.atMillis })
 
     /** Jobs that have not ended. */
     var live: Int = 0
         private set
 
-    /** Jobs that are known, ended ones included. */
-    val known: Int
-        get() = jobs.size
+    /** Ended jobs that are remembered. */
+    val remembered: Int
+        get() = claims.size
 
+    /** A job that has not ended, or that still has a task at an agent. */
     operator fun get(id: JobId): HomeJob? = jobs[id]
 
+    /** The claim of an ended job. */
+    fun ended(id: JobId): EndedClaim? = claims[id]
+
     fun add(claimed: HomeJob) {
         jobs[claimed.job.id] = claimed
-        deadlines += TimedJob(claimed.deadlineAtMillis, claimed.job.id)
+        deadlines += Deadline(claimed.deadlineAtMillis, claimed.job.id)
         live++
     }
 
-    fun ended(
+    /** Records how a job ended; only its claim is kept once no agent has a task of it. */
+    fun end(
         known: HomeJob,
         outcome: JobOutcome,
         nowMillis: Long,
     ) {
         known.outcome = outcome
         live--
-        expiries += TimedJob(nowMillis + retentionMillis, known.job.id)
+        claims.record(EndedClaim(known.job.id, known.digest, outcome), nowMillis)
+        forgetIfSettled(known)
+    }
+
+    /** Forgets an ended job, but for its claim, once no agent has a task of it. */
+    fun forgetIfSettled(known: HomeJob) {
+        if (known.outcome != null && !known.hasPlacedTasks) jobs.remove(known.job.id)
     }
 
     fun liveIds(): List<JobId> = jobs.values.filter { it.outcome == null }.map { it.job.id }
@@ -49,13 +67,16 @@
         return overdue
     }
 
-    fun forgetExpired(nowMillis: Long) {
-        while (expiries.isNotEmpty() && expiries.first().atMillis <= nowMillis) {
-            jobs.remove(expiries.removeFirst().job)
-        }
-    }
+    fun expire(nowMillis: Long) = claims.expire(nowMillis)
+
+    fun exportClaims(nowMillis: Long): List<HandedClaim> = claims.export(nowMillis)
+
+    fun importClaims(
+        handed: List<HandedClaim>,
+        nowMillis: Long,
+    ) = claims.import(handed.filter { it.claim.job !in jobs }, nowMillis)
 
-    private data class TimedJob(
+    private data class Deadline(
         val atMillis: Long,
         val job: JobId,
     )
--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/HomeDump.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/HomeDump.kt
@@ -9,7 +9,7 @@
 @Serializable
 data class HomeDump(
     val liveJobs: List<JobId>,
-    val knownJobs: Int,
+    val rememberedJobs: Int,
     val agents: List<AgentDump>,
     val settings: List<StoredTeamSettings>,
 )
--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/HomeTask.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/HomeTask.kt
@@ -231,7 +231,7 @@
     private fun dump() =
         HomeDump(
             liveJobs = home.liveJobIds(),
-            knownJobs = home.knownJobs,
+            rememberedJobs = home.rememberedJobs,
             agents =
                 agents.map { (agent, connected) ->
                     AgentDump(
