--- a/egretlock-core/src/main/kotlin/io/egretlock/core/placement/AgentPool.kt
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/placement/AgentPool.kt
@@ -15,10 +15,9 @@
     private val agents = HashMap<ProcessId, AgentState>()
     private val slowAgents = LinkedHashSet<AgentState>()
     private val free = FreeAgents()
-    private val freeForLong = FreeAgents()
     private var longShare = 1.0
     private var entryShare = EntryShare()
-    private var longLimits = 0
+    private var slots = 0
     private var runningLong = 0
     private var nextSlowProbeAtMillis = Long.MIN_VALUE
 
@@ -35,7 +34,7 @@
 
     /** Long tasks that could start now if there were credits. */
     val longRoom: Int
-        get() = (longLimits - runningLong).coerceAtLeast(if (longLimits == 0 && runningLong == 0) 1 else 0)
+        get() = (entryShare.of((slots * longShare).roundToInt()) - runningLong).coerceAtLeast(0)
 
     private var allNominalRate = 0.0
 
@@ -54,16 +53,12 @@
     fun changed(view: AgentView) {
         val known = agents[view.agent]
         if (known != null) {
-            change(known) {
-                known.view = view
-                limit(known)
-            }
+            change(known) { known.view = view }
             return
         }
         val agent = AgentState(view)
         agents[view.agent] = agent
         agent.slowness = runTimes.slowness(view.agent)
-        limit(agent)
         include(agent)
         reviewSlowAgents()
     }
@@ -73,7 +68,6 @@
         val agent = agents.remove(id) ?: return
         exclude(agent)
         free.countRunning(agent, -agent.running)
-        freeForLong.countRunning(agent, -agent.runningLong)
         runningLong -= agent.runningLong
         slowAgents.remove(agent)
         reviewSlowAgents()
@@ -98,12 +92,15 @@
         return returned
     }
 
-    /** The agent that should start the next task of [taskClass]; null if none is free. */
+    /**
+     * The agent that should start the next task of [taskClass]; null if none is free. Long tasks leave the fast agents
+     * to the short ones.
+     */
     fun best(taskClass: TaskClass): AgentState? =
         when {
-            taskClass == TaskClass.SHORT -> free.best()
-            longLimits == 0 && runningLong == 0 -> free.best()
-            else -> freeForLong.best()
+            taskClass == TaskClass.SHORT -> free.fastest()
+            longRoom > 0 -> free.slowest()?.takeIf { it.access == AgentAccess.OPEN }
+            else -> null
         }
 
     /** Spends a credit of [agent] on a task. */
@@ -154,21 +151,13 @@
         idle.forEach { agent -> allowProbe(agent.id) }
     }
 
-    /** Applies new limits to all agents. */
+    /** Applies new limits. */
     fun limitsChanged(
         longShare: Double,
         entryShare: EntryShare,
     ) {
-        if (longShare == this.longShare && entryShare == this.entryShare) return
         this.longShare = longShare
         this.entryShare = entryShare
-        agents.values.forEach { agent -> change(agent) { limit(agent) } }
-    }
-
-    private fun limit(agent: AgentState) {
-        val slots = agent.view.upstream.slots
-        val longSlots = (slots * longShare).roundToInt().coerceIn(1, slots)
-        agent.longLimit = entryShare.ofRotated(longSlots, agent.id.name.hashCode())
     }
 
     private fun reviewSlowAgents() {
@@ -188,7 +177,6 @@
         if (taskClass == TaskClass.LONG) {
             agent.runningLong += tasks
             runningLong += tasks
-            freeForLong.countRunning(agent, tasks)
         }
     }
 
@@ -213,12 +201,10 @@
 
     private fun exclude(agent: AgentState) {
         free.remove(agent)
-        freeForLong.remove(agent)
         free.countSlots(agent, -agent.view.upstream.slots)
-        freeForLong.countSlots(agent, -agent.view.upstream.slots)
         usableCredits -= agent.usableCredits
         allNominalRate -= agent.nominalRate
-        longLimits -= agent.longLimit
+        slots -= agent.view.upstream.slots
         if (agent.isFit) fitAgents--
     }
 
@@ -226,12 +212,10 @@
         if (agent.isSlow) slowAgents.add(agent) else slowAgents.remove(agent)
         agent.access = access(agent)
         if (agent.usableCredits > 0) free.add(agent)
-        if (agent.usableCredits > 0 && agent.mayStartLong) freeForLong.add(agent)
         free.countSlots(agent, agent.view.upstream.slots)
-        freeForLong.countSlots(agent, agent.view.upstream.slots)
         usableCredits += agent.usableCredits
         allNominalRate += agent.nominalRate
-        longLimits += agent.longLimit
+        slots += agent.view.upstream.slots
         if (agent.isFit) fitAgents++
     }
 
--- a/egretlock-core/src/main/kotlin/io/egretlock/core/placement/AgentState.kt
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/placement/AgentState.kt
@@ -27,7 +27,6 @@
     var credits = 0
     var running = 0
     var runningLong = 0
-    var longLimit = 0
     var slowness = 1.0
         set(value) {
             field = value
@@ -45,10 +44,6 @@
                 AgentAccess.CLOSED -> 0
             }
 
-    /** Whether the agent may start one more long task. Probes are short. */
-    val mayStartLong: Boolean
-        get() = access == AgentAccess.OPEN && runningLong < longLimit
-
     val isSlow: Boolean
         get() = slowness > SLOW_RATIO
 
--- a/egretlock-core/src/main/kotlin/io/egretlock/core/placement/EntryShare.kt
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/placement/EntryShare.kt
@@ -19,16 +19,4 @@
         val remainder = if (position < limit % count) 1 else 0
         return (limit / count + remainder).coerceAtLeast(1)
     }
-
-    /**
-     * This entry's part of a limit of few units, which may be 0. [rotation] moves the remainder from entry to entry, so
-     * that the parts of all entries add up to [limit].
-     */
-    fun ofRotated(
-        limit: Int,
-        rotation: Int,
-    ): Int {
-        val rotatedPosition = Math.floorMod(position + rotation, count)
-        return limit / count + if (rotatedPosition < limit % count) 1 else 0
-    }
 }
--- a/egretlock-core/src/main/kotlin/io/egretlock/core/placement/FreeAgents.kt
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/placement/FreeAgents.kt
@@ -36,13 +36,34 @@
         domainOf(agent).slots += slots
     }
 
-    /** The agent that should start the next task; null if none is free. */
-    fun best(): AgentState? {
-        var best: Domain? = null
+    /** The fastest free agent; null if none is free. */
+    fun fastest(): AgentState? = choose({ it.first() }) { candidate, best -> candidate < best }
+
+    /** The slowest free agent; null if none is free. */
+    fun slowest(): AgentState? = choose({ it.last() }) { candidate, best -> candidate > best }
+
+    private inline fun choose(
+        end: (TreeSet<AgentState>) -> AgentState,
+        isBetterStep: (Int, Int) -> Boolean,
+    ): AgentState? {
+        var best: AgentState? = null
+        var bestLoad = 0.0
         for (domain in domains.values) {
-            if (domain.free.isNotEmpty() && (best == null || domain.isBetterThan(best))) best = domain
+            val candidate = if (domain.free.isEmpty()) null else end(domain.free)
+            val isBetter =
+                candidate != null &&
+                    (
+                        best == null ||
+                            isBetterStep(candidate.speedStep, best.speedStep) ||
+                            candidate.speedStep == best.speedStep &&
+                            domain.load < bestLoad
+                    )
+            if (isBetter) {
+                best = candidate
+                bestLoad = domain.load
+            }
         }
-        return best?.free?.first()
+        return best
     }
 
     private fun domainOf(agent: AgentState): Domain = domains.getOrPut(agent.view.failureDomain) { Domain() }
@@ -52,14 +73,8 @@
         var running = 0
         var slots = 0
 
-        private val load: Double
+        val load: Double
             get() = running.toDouble() / slots.coerceAtLeast(1)
-
-        fun isBetterThan(other: Domain): Boolean {
-            val step = free.first().speedStep
-            val otherStep = other.free.first().speedStep
-            return step < otherStep || step == otherStep && load < other.load
-        }
     }
 
     private companion object {
--- a/egretlock-core/src/main/kotlin/io/egretlock/core/placement/RetrySchedule.kt
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/placement/RetrySchedule.kt
@@ -21,7 +21,7 @@
     }
 
     private companion object {
-        const val RETURN_SHARE = 0.15
+        const val RETURN_SHARE = 0.1
         const val SHORTEST_RETRY_MILLIS = 100.0
         const val LONGEST_RETRY_MILLIS = 600_000L
     }
--- a/egretlock-core/src/main/kotlin/io/egretlock/core/placement/TaskClassifier.kt
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/placement/TaskClassifier.kt
@@ -2,7 +2,7 @@
 
 import io.egretlock.core.job.OperationName
 
-/** Class of a task. Long tasks may hold only a share of each agent's slots. */
+/** Class of a task. Long tasks may hold only a share of all slots. */
 enum class TaskClass { SHORT, LONG }
 
 /** Decides the class of an operation. */
--- a/egretlock-core/src/main/kotlin/io/egretlock/core/settings/TeamSettings.kt
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/settings/TeamSettings.kt
@@ -27,7 +27,8 @@
  * @property longestQueue tasks of the team that may wait at one entry.
  * @property longestDeadlineMillis longest deadline that a job may ask for, in milliseconds.
  * @property largestJob tasks that one job may have.
- * @property longShare share of an agent's slots, from 0 to 1, that long tasks may hold.
+ * @property longShare share of the service's slots, from 0 to 1, that long tasks may hold; the mean over its teams
+ * by weight applies.
  * @property guards whether an agent that fails all it starts loses its credits.
  */
 @Serializable
