--- a/egretlock-core/src/main/kotlin/io/egretlock/core/home/ServiceDispatchers.kt
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/home/ServiceDispatchers.kt
@@ -11,6 +11,7 @@
 import io.egretlock.core.placement.Admission
 import io.egretlock.core.placement.AgentView
 import io.egretlock.core.placement.Dispatcher
+import io.egretlock.core.placement.EntryShare
 import io.egretlock.core.placement.Placement
 import io.egretlock.core.settings.StoredTeamSettings
 
@@ -21,6 +22,8 @@
     private val dispatchers = linkedMapOf<ServiceName, Dispatcher>()
     private val services = mutableMapOf<ProcessId, ServiceName>()
     private val teams = linkedMapOf<TeamName, StoredTeamSettings>()
+    private val requests = CreditRequests()
+    private var entryShare = EntryShare()
 
     internal fun applySettings(settings: StoredTeamSettings) {
         val known = teams[settings.settings.team]
@@ -29,13 +32,20 @@
         dispatchers.values.forEach { it.applySettings(settings) }
     }
 
+    internal fun entriesChanged(share: EntryShare) {
+        entryShare = share
+        dispatchers.values.forEach { it.entriesChanged(share) }
+    }
+
     internal fun agentChanged(view: AgentView) {
         val before = services.put(view.agent, view.upstream.service)
         if (before != null && before != view.upstream.service) dispatchers[before]?.agentLost(view.agent)
         dispatcher(view.upstream.service).agentChanged(view)
+        requests.connected(view.agent, view.upstream.service, view.upstream.slots)
     }
 
     internal fun agentLost(agent: ProcessId) {
+        requests.disconnected(agent)
         services.remove(agent)?.let { dispatchers[it]?.agentLost(agent) }
     }
 
@@ -43,6 +53,7 @@
         agent: ProcessId,
         count: Int,
     ) {
+        requests.granted(agent, count)
         of(agent)?.creditsGranted(agent, count)
     }
 
@@ -93,13 +104,22 @@
         dispatchers[service]?.withdraw(job)
     }
 
-    internal fun creditsWanted(service: ServiceName): Int = dispatchers[service]?.creditsWanted() ?: 0
+    /** Requests for the credits that are missing now. */
+    internal fun creditRequests(): List<HomeEffect.RequestCredits> = requests.requests(::creditsWanted)
+
+    /** Withdraws requests that are not needed any more. */
+    internal fun tickCreditRequests(): List<HomeEffect.RequestCredits> = requests.tick(::creditsWanted)
+
+    private fun creditsWanted(service: ServiceName): Int = dispatchers[service]?.creditsWanted() ?: 0
 
     private fun of(agent: ProcessId): Dispatcher? = services[agent]?.let { dispatchers[it] }
 
     private fun dispatcher(service: ServiceName): Dispatcher =
         dispatchers.getOrPut(service) {
-            create(service).also { created -> teams.values.forEach { created.applySettings(it) } }
+            create(service).also { created ->
+                created.entriesChanged(entryShare)
+                teams.values.forEach { created.applySettings(it) }
+            }
         }
 
     private fun refused(
--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/HomeTask.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/HomeTask.kt
@@ -1,13 +1,12 @@
 package io.egretlock.entry
 
-import io.egretlock.core.home.AttemptFate
 import io.egretlock.core.home.Home
 import io.egretlock.core.home.HomeEffect
-import io.egretlock.core.home.PlacedAttempt
 import io.egretlock.core.home.Submission
 import io.egretlock.core.job.JobId
 import io.egretlock.core.job.JobOutcome
 import io.egretlock.core.job.ProcessId
+import io.egretlock.core.job.TaskId
 import io.egretlock.core.job.TeamName
 import io.egretlock.core.placement.AgentView
 import io.egretlock.core.settings.StoredTeamSettings
@@ -20,14 +19,18 @@
 import io.egretlock.protocol.CreditRequest
 import io.egretlock.protocol.CreditReturn
 import io.egretlock.protocol.Finished
+import io.egretlock.protocol.Link
 import io.egretlock.protocol.Message
+import io.egretlock.protocol.OutcomeReport
+import io.egretlock.protocol.ProcessRevision
 import io.egretlock.protocol.Reconcile
 import io.egretlock.protocol.ReconcileReply
 import io.egretlock.protocol.RevokeReply
+import io.egretlock.protocol.SettingsApplied
+import io.egretlock.protocol.SettingsRevision
 import io.egretlock.protocol.SettingsUpdate
 import io.egretlock.protocol.Start
 import io.egretlock.protocol.StartRefused
-import io.egretlock.protocol.TaskAttempt
 import io.egretlock.protocol.UpstreamUpdate
 import io.github.oshai.kotlinlogging.KotlinLogging
 import kotlinx.coroutines.CompletableDeferred
@@ -42,13 +45,17 @@
  * @property nowMillis monotonic clock in milliseconds.
  */
 internal class HomeTask(
+    private val self: ProcessId,
     private val home: Home,
+    private val metrics: EntryMetrics,
     private val nowMillis: () -> Long,
 ) {
     private val inputs = Channel<HomeInput>(Channel.UNLIMITED)
     private val agents = linkedMapOf<ProcessId, ConnectedAgent>()
     private val waiters = mutableMapOf<JobId, MutableList<CompletableDeferred<JobOutcome>>>()
     private val settings = linkedMapOf<TeamName, StoredTeamSettings>()
+    private val counts = OutcomeCounts()
+    private val acknowledged = linkedMapOf<ProcessId, MutableList<TaskId>>()
 
     /** Queues an input. */
     fun send(input: HomeInput) {
@@ -59,7 +66,16 @@
     suspend fun run() {
         for (input in inputs) {
             handle(input)
-            home.drain(nowMillis()).forEach(::carryOut)
+            handleWaiting()
+            carryOut(home.drain(nowMillis()))
+        }
+    }
+
+    /** Handles what has arrived meanwhile, so that acknowledgements for one agent share a message. */
+    private fun handleWaiting() {
+        repeat(MOST_INPUTS_AT_ONCE) {
+            val input = inputs.tryReceive().getOrNull() ?: return
+            handle(input)
         }
     }
 
@@ -72,6 +88,8 @@
             is HomeInput.FromAgent -> if (isCurrent(input.link, input.agent)) fromAgent(input.agent, input.message)
             is HomeInput.AgentClosed -> agentClosed(input)
             is HomeInput.Settings -> applySettings(input.stored)
+            is HomeInput.EntriesChanged -> home.entriesChanged(input.share)
+            is HomeInput.Outcomes -> input.reply.complete(outcomes(input.team))
             is HomeInput.Tick -> home.tick(nowMillis())
             is HomeInput.Dump -> input.reply.complete(dump())
         }
@@ -103,7 +121,7 @@
     }
 
     private fun isCurrent(
-        link: io.egretlock.protocol.Link,
+        link: Link,
         agent: ProcessId,
     ): Boolean = agents[agent]?.link === link
 
@@ -111,21 +129,23 @@
         agent: ProcessId,
         message: Message,
     ) {
+        metrics.received(message.kind())
         when (message) {
             is UpstreamUpdate -> upstreamUpdated(agent, message)
             is CreditGrant -> home.creditsGranted(agent, message.count)
             is CreditRecall -> home.creditsRecalled(agent, message.count)
             is Finished -> finished(agent, message)
-            is StartRefused -> home.attemptNeverStarts(agent, message.attempt.toCore(), nowMillis())
+            is StartRefused -> home.attemptNeverStarts(agent, message.attempt, nowMillis())
             is RevokeReply ->
                 if (!message.started) {
                     home.attemptNeverStarts(
                         agent,
-                        message.attempt.toCore(),
+                        message.attempt,
                         nowMillis(),
                     )
                 }
             is ReconcileReply -> reconciled(agent, message)
+            is SettingsApplied -> agents.getValue(agent).applied(message.revisions)
             else -> Unit
         }
     }
@@ -152,8 +172,8 @@
         message: ReconcileReply,
     ) {
         message.statuses
-            .filter { it.state.fate() == AttemptFate.NEVER_STARTS }
-            .forEach { home.attemptNeverStarts(agent, it.attempt.toCore(), nowMillis()) }
+            .filter { it.state == AttemptState.NEVER_SEEN || it.state == AttemptState.REVOKED }
+            .forEach { home.attemptNeverStarts(agent, it.attempt, nowMillis()) }
     }
 
     private fun applySettings(stored: StoredTeamSettings) {
@@ -165,26 +185,47 @@
         logger.event(EntryEvent.SETTINGS_APPLIED, "team" to stored.settings.team, "revision" to stored.revision)
     }
 
+    private fun carryOut(effects: List<HomeEffect>) {
+        effects.forEach(::carryOut)
+        acknowledged.forEach { (agent, tasks) -> send(agent, Acknowledge(tasks)) }
+        acknowledged.clear()
+    }
+
     private fun carryOut(effect: HomeEffect) {
         when (effect) {
-            is HomeEffect.JobEnded -> waiters.remove(effect.job)?.forEach { it.complete(effect.outcome) }
+            is HomeEffect.JobEnded -> jobEnded(effect)
             is HomeEffect.StartTask -> send(effect.agent, start(effect))
-            is HomeEffect.AcknowledgeTask -> send(effect.agent, Acknowledge(listOf(effect.task)))
+            is HomeEffect.AcknowledgeTask -> acknowledged.getOrPut(effect.agent) { mutableListOf() } += effect.task
             is HomeEffect.CancelTask -> send(effect.agent, Cancel(effect.task))
-            is HomeEffect.ReconcileTasks -> send(effect.agent, Reconcile(effect.attempts.map { it.toProtocol() }))
+            is HomeEffect.ReconcileTasks -> send(effect.agent, Reconcile(effect.attempts))
             is HomeEffect.RequestCredits -> send(effect.agent, CreditRequest(effect.wanted))
             is HomeEffect.ReturnCredits -> send(effect.agent, CreditReturn(effect.count))
         }
     }
 
+    private fun jobEnded(effect: HomeEffect.JobEnded) {
+        counts.add(effect.team, effect.outcome)
+        waiters.remove(effect.job)?.forEach { it.complete(effect.outcome) }
+    }
+
+    private fun outcomes(team: TeamName) =
+        OutcomeReport(
+            entry = self,
+            outcomes = counts.of(team),
+            revisions =
+                listOf(ProcessRevision(self, settings[team]?.revision ?: 0)) +
+                    agents.map { (agent, connected) -> ProcessRevision(agent, connected.revisions[team] ?: 0) },
+        )
+
     private fun start(effect: HomeEffect.StartTask) =
-        Start(effect.attempt.toProtocol(), effect.team, effect.specification, effect.remainingMillis)
+        Start(effect.attempt, effect.team, effect.specification, effect.remainingMillis)
 
     private fun send(
         agent: ProcessId,
         message: Message,
     ) {
         agents[agent]?.link?.send(message)
+        metrics.sent(message.kind())
     }
 
     private fun dump() =
@@ -205,21 +246,25 @@
             settings = settings.values.toList(),
         )
 
+    private companion object {
+        const val MOST_INPUTS_AT_ONCE = 64
+    }
+
     private class ConnectedAgent(
         val opened: HomeInput.AgentOpened,
         var view: AgentView?,
     ) {
         val link = opened.link
-    }
-}
-
-private fun TaskAttempt.toCore() = PlacedAttempt(task, attempt)
+        val revisions = mutableMapOf<TeamName, Long>()
 
-private fun PlacedAttempt.toProtocol() = TaskAttempt(task, number)
+        init {
+            applied(opened.revisions)
+        }
 
-private fun AttemptState.fate(): AttemptFate =
-    when (this) {
-        AttemptState.RUNNING -> AttemptFate.RUNNING
-        AttemptState.FINISHED -> AttemptFate.FINISHED
-        AttemptState.NEVER_SEEN, AttemptState.REVOKED -> AttemptFate.NEVER_STARTS
+        fun applied(applied: List<SettingsRevision>) {
+            applied.forEach { revisions[it.team] = it.revision }
+        }
     }
+}
+
+private fun Message.kind(): String = this::class.simpleName.orEmpty()
--- a/egretlock-protocol/src/main/kotlin/io/egretlock/protocol/Message.kt
+++ b/egretlock-protocol/src/main/kotlin/io/egretlock/protocol/Message.kt
@@ -20,6 +20,13 @@
 @Serializable
 sealed interface Message
 
+/** A message that answers the one with the same [request] number on the same connection, or on an earlier one. */
+@Serializable
+sealed interface ReplyMessage : Message {
+    /** Number that the asking entry chose. */
+    val request: Long
+}
+
 /** First message of an agent on each connection it dials. [announcement] is null while no upstream is announced. */
 @Serializable
 @SerialName("agent-hello")
@@ -89,12 +96,8 @@
     val revisions: List<SettingsRevision>,
 ) : Message
 
-/** One placement of a task. A task that was revoked may be placed again under a higher [attempt]. */
-@Serializable
-data class TaskAttempt(
-    val task: TaskId,
-    val attempt: Int,
-)
+/** One placement of a task. */
+typealias TaskAttempt = io.egretlock.core.gate.TaskAttempt
 
 /**
  * Entry to agent: start a task, spending one credit.
@@ -204,15 +207,10 @@
 ) : Message
 
 /** What an agent knows of an attempt. */
-@Serializable
-enum class AttemptState { RUNNING, FINISHED, NEVER_SEEN, REVOKED }
+typealias AttemptState = io.egretlock.core.gate.AttemptState
 
 /** State of one attempt at an agent. */
-@Serializable
-data class AttemptStatus(
-    val attempt: TaskAttempt,
-    val state: AttemptState,
-)
+typealias AttemptStatus = io.egretlock.core.gate.AttemptStatus
 
 /** Agent to entry: answers [Reconcile], one status for each attempt. [Finished] follows for finished ones. */
 @Serializable
@@ -251,9 +249,9 @@
 @Serializable
 @SerialName("forward-reply")
 data class ForwardReply(
-    val request: Long,
+    override val request: Long,
     val outcome: JobOutcome,
-) : Message
+) : ReplyMessage
 
 /** State of a job at its home. */
 @Serializable
@@ -263,6 +261,6 @@
 @Serializable
 @SerialName("forward-state-reply")
 data class ForwardStateReply(
-    val request: Long,
+    override val request: Long,
     val state: JobState,
-) : Message
+) : ReplyMessage
