--- a/egretlock-core/src/main/kotlin/io/egretlock/core/home/Home.kt
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/home/Home.kt
@@ -26,6 +26,7 @@
     private val jobs = HomeJobs(limits.retentionMillis)
     private val agents = HomeAgents()
     private val effects = mutableListOf<HomeEffect>()
+    private var claiming = true
 
     /** Jobs that have not ended. */
     val liveJobs: Int
@@ -48,6 +49,11 @@
     /** The entries that share the limits have changed. */
     fun entriesChanged(share: EntryShare) = dispatchers.entriesChanged(share)
 
+    /** Claims no more jobs from now on; those that are claimed go on, and submissions may join them. */
+    fun stopClaiming() {
+        claiming = false
+    }
+
     /** Claims a job or joins the claim that stands. */
     fun submit(
         job: Job,
@@ -56,6 +62,7 @@
     ): Submission {
         val known = jobs[job.id]
         return when {
+            known == null && !claiming -> Submission.Ended(JobOutcome.WithoutAnswer(HomeVerdicts.draining()))
             known == null -> claim(job, remainingMillis, nowMillis)
             known.job != job -> Submission.Ended(JobOutcome.WithoutAnswer(HomeVerdicts.conflict(job)))
             else -> known.outcome?.let { Submission.Ended(it) } ?: Submission.Waiting
--- a/egretlock-core/src/main/kotlin/io/egretlock/core/home/HomeVerdicts.kt
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/home/HomeVerdicts.kt
@@ -8,10 +8,15 @@
 
 /** The verdicts that a [Home] gives by itself. */
 internal object HomeVerdicts {
+    private const val DRAINING_RETRY_MILLIS = 1_000L
+
     /** The agent that held a task of the job will not be heard of again. */
     fun agentLost(agent: ProcessId) =
         Verdict.MayHaveRun(Reason.AGENT_LOST, "Agent '$agent' was lost while it held a task of the job.")
 
+    /** This entry is about to stop. */
+    fun draining() = Verdict.NotRun(Reason.DRAINING, "The home of the job is draining.", DRAINING_RETRY_MILLIS)
+
     /** The same id came with another body. */
     fun conflict(job: Job) =
         Verdict.NotRun(Reason.CONFLICTING_BODY, "Job '${job.id}' was submitted before with another body.")
--- a/egretlock-testing/src/main/kotlin/io/egretlock/testing/system/TestSystem.kt
+++ b/egretlock-testing/src/main/kotlin/io/egretlock/testing/system/TestSystem.kt
@@ -41,11 +41,13 @@
         entry: EntryNode,
         id: String,
         job: JobRequest,
-    ): CompletableFuture<JobReply> =
-        caller.submit(entry.callersAddress.toString(), id, job).thenApply { reply ->
-            submissions += Submission(id, job, reply)
+    ): CompletableFuture<JobReply> {
+        val submittedAtMillis = System.currentTimeMillis()
+        return caller.submit(entry.callersAddress.toString(), id, job).thenApply { reply ->
+            submissions += Submission(id, job, reply, submittedAtMillis, System.currentTimeMillis())
             reply
         }
+    }
 
     /** Submits any body, without recording it. */
     fun submitText(
@@ -95,6 +97,13 @@
         }
     }
 
+    /** Waits until [entry] tells its balancer that it accepts no new work. */
+    fun awaitUnready(entry: EntryNode) =
+        Await.until("${entry.name} is not ready") { !operator.isReady(entry.operatorsAddress) }
+
+    /** Whether [entry] accepts new work, as its balancer sees it. */
+    fun isReady(entry: EntryNode): Boolean = operator.isReady(entry.operatorsAddress)
+
     override fun close() {
         caller.close()
         launcher.close()
--- a/egretlock-testing/src/test/kotlin/io/egretlock/testing/proof/PlannedStopTest.kt
+++ b/egretlock-testing/src/test/kotlin/io/egretlock/testing/proof/PlannedStopTest.kt
@@ -45,6 +45,21 @@
         assertEquals(emptyList<Violation>(), system.violations())
     }
 
+    @Test
+    fun `given jobs in flight, when resubmitted at an entry that was told to stop, then they get their answers`() {
+        val jobs = List(6) { Jobs.id() to Jobs.job(tasks = 2, runMillis = 900) }
+        val running = jobs.map { (id, job) -> system.submit(system.entries.first(), id, job) }
+        Await.until("all tasks are started") { system.starts.size == 12 }
+        system.entries
+            .first()
+            .process
+            .signal(ProcessSignal.TERM)
+        system.awaitUnready(system.entries.first())
+        val again = jobs.map { (id, job) -> system.submit(system.entries.first(), id, job) }
+        assertEquals(running.map { it.join() }, again.map { it.join() })
+        assertEquals(emptyList<Violation>(), system.violations())
+    }
+
     @Test
     fun `given tasks in flight, when an agent is told to stop, then it answers them and ends with 0`() {
         val running = List(6) { system.submit(system.entries.first(), Jobs.id(), Jobs.job(tasks = 2, runMillis = 600)) }
