--- a/egretlock-core/src/main/kotlin/io/egretlock/core/home/Home.kt
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/home/Home.kt
@@ -28,7 +28,9 @@
 ) {
     private val jobs = HomeJobs(limits.retention)
     private val agents = HomeAgents()
+    private val placer = TaskPlacer(jobs, agents, dispatchers)
     private val effects = mutableListOf<HomeEffect>()
+    private var claiming = true
 
     /** Jobs that have not ended. */
     val liveJobs: Int
@@ -40,7 +42,7 @@
 
     /** Effects of the calls since the last drain, in order. */
     fun drain(nowMillis: Long): List<HomeEffect> {
-        startTasks(nowMillis)
+        effects += placer.startTasks(nowMillis)
         effects += dispatchers.creditRequests()
         return effects.toList().also { effects.clear() }
     }
@@ -51,6 +53,11 @@
     /** The entries that share the limits have changed. */
     fun entriesChanged(share: EntryShare) = dispatchers.entriesChanged(share)
 
+    /** Refuses jobs that are not known yet from now on; claimed ones go on, and submissions may join them. */
+    fun stopClaiming() {
+        claiming = false
+    }
+
     /** Claims a job or joins the claim that stands. */
     fun submit(
         job: Job,
@@ -107,7 +114,7 @@
         agents.earlierIncarnation(agent)?.let { agentGone(it, nowMillis) }
         val reconnected = agents.connected(agent)
         if (view == null) dispatchers.agentLost(agent) else dispatchers.agentChanged(view)
-        if (reconnected) reconcile(agent)
+        if (reconnected) placer.reconciliation(agent)?.let { effects += it }
     }
 
     /** The connection to an agent ended; its unused credits end with it. */
@@ -188,46 +195,34 @@
     ): Submission {
         val claimed = HomeJob(job, nowMillis + remainingMillis)
         jobs.add(claimed)
-        return when (val admission = dispatchers.submit(job, claimed.deadlineAtMillis, nowMillis)) {
+        return when (val admission = admit(claimed, nowMillis)) {
             is Admission.Admitted -> Submission.Waiting
-            is Admission.Refused -> {
-                val outcome = JobOutcome.WithoutAnswer(admission.verdict)
-                jobs.end(claimed, outcome, nowMillis)
-                effects += HomeEffect.JobEnded(job.id, job.team, outcome)
-                Submission.Ended(outcome)
-            }
+            is Admission.Refused -> refuse(claimed, admission.verdict, nowMillis)
         }
     }
 
-    private fun startTasks(nowMillis: Long) {
-        for ((task, agent) in dispatchers.placements(nowMillis)) {
-            val known = checkNotNull(jobs[task.job]) { "Task '$task' was placed, but its job is not known." }
-            val number = known.place(task.index, agent)
-            agents.placed(agent, task)
-            effects +=
-                HomeEffect.StartTask(
-                    agent = agent,
-                    attempt = TaskAttempt(task, number),
-                    team = known.job.team,
-                    specification = known.job.tasks[task.index],
-                    remainingMillis = known.deadlineAtMillis - nowMillis,
-                )
+    private fun admit(
+        claimed: HomeJob,
+        nowMillis: Long,
+    ): Admission =
+        if (claiming) {
+            dispatchers.submit(claimed.job, claimed.deadlineAtMillis, nowMillis)
+        } else {
+            Admission.Refused(HomeVerdicts.draining())
         }
-    }
 
-    private fun reconcile(agent: ProcessId) {
-        val attempts = agents.tasksOn(agent).mapNotNull { attemptOn(agent, it) }
-        if (attempts.isNotEmpty()) effects += HomeEffect.ReconcileTasks(agent, attempts)
+    /** A refusal stands for the id, so that a delayed duplicate of the refused submission never runs. */
+    private fun refuse(
+        claimed: HomeJob,
+        verdict: Verdict.NotRun,
+        nowMillis: Long,
+    ): Submission {
+        val outcome = JobOutcome.WithoutAnswer(verdict)
+        jobs.end(claimed, outcome, nowMillis)
+        effects += HomeEffect.JobEnded(claimed.job.id, claimed.job.team, outcome)
+        return Submission.Ended(outcome)
     }
 
-    private fun attemptOn(
-        agent: ProcessId,
-        task: TaskId,
-    ): TaskAttempt? =
-        (jobs[task.job]?.progress(task.index) as? TaskProgress.Placed)
-            ?.takeIf { it.agent == agent }
-            ?.let { TaskAttempt(task, it.attempt) }
-
     private fun agentGone(
         agent: ProcessId,
         nowMillis: Long,
