--- a/egretlock-agent/src/main/kotlin/io/egretlock/agent/HttpUpstreamClient.kt
+++ b/egretlock-agent/src/main/kotlin/io/egretlock/agent/HttpUpstreamClient.kt
@@ -7,25 +7,15 @@
 import io.egretlock.core.job.Verdict
 import io.egretlock.core.placement.UpstreamAnnouncement
 import io.github.oshai.kotlinlogging.KotlinLogging
-import kotlinx.serialization.ExperimentalSerializationApi
-import kotlinx.serialization.SerializationException
-import kotlinx.serialization.json.Json
-import kotlinx.serialization.json.JsonElement
-import kotlinx.serialization.json.JsonNull
-import kotlinx.serialization.json.JsonPrimitive
-import kotlinx.serialization.json.JsonUnquotedLiteral
-import kotlinx.serialization.json.buildJsonObject
 import okhttp3.Call
 import okhttp3.Callback
 import okhttp3.ConnectionPool
 import okhttp3.Dispatcher
 import okhttp3.HttpUrl
 import okhttp3.HttpUrl.Companion.toHttpUrl
-import okhttp3.MediaType.Companion.toMediaType
 import okhttp3.OkHttpClient
 import okhttp3.Protocol
 import okhttp3.Request
-import okhttp3.RequestBody.Companion.toRequestBody
 import okhttp3.Response
 import java.io.IOException
 import java.io.InterruptedIOException
@@ -69,12 +59,11 @@
         onEnd: (CallEnd) -> Unit,
     ) {
         val tracker = SendTracker()
-        val body = requestBody(specification, remainingMillis).toRequestBody(JSON_TYPE)
         val request =
             Request
                 .Builder()
-                .url(taskUrl(upstream, task))
-                .post(body)
+                .url(TaskCodec.url(upstream, task))
+                .post(TaskCodec.requestBody(specification, remainingMillis))
                 .tag(SendTracker::class.java, tracker)
                 .build()
         val call = client.newCall(request)
@@ -91,7 +80,7 @@
             client.newCall(
                 Request
                     .Builder()
-                    .url(taskUrl(upstream, task))
+                    .url(TaskCodec.url(upstream, task))
                     .delete()
                     .build(),
             )
@@ -133,7 +122,7 @@
             response: Response,
         ) = onEnd(
             try {
-                CallEnd.Ended(outcomeOf(response))
+                CallEnd.Ended(response.use(TaskCodec::outcomeOf))
             } catch (failure: IOException) {
                 endWithoutAnswer(failure)
             },
@@ -147,8 +136,8 @@
         private fun endWithoutAnswer(failure: IOException): CallEnd {
             logger.debug { "Call to the upstream failed: $failure" }
             if (!tracker.mayHaveSent) return CallEnd.NotStarted
-            val detail = if (failure is InterruptedIOException) NO_ANSWER_IN_TIME else CONNECTION_LOST
-            return CallEnd.Ended(TaskOutcome.Ended(Verdict.MayHaveRun(Reason.UPSTREAM_LOST, detail)))
+            val verdict = if (failure is InterruptedIOException) NO_ANSWER_IN_TIME else CONNECTION_LOST
+            return CallEnd.Ended(TaskOutcome.Ended(verdict))
         }
     }
 
@@ -170,16 +159,15 @@
     }
 
     internal companion object {
-        const val NO_ANSWER_IN_TIME = "The upstream gave no answer within the deadline."
-        const val CONNECTION_LOST = "The connection to the upstream was lost before its answer."
-        const val LARGEST_ANSWER_BYTES = 16L * 1_024 * 1_024
+        val NO_ANSWER_IN_TIME = Verdict.MayHaveRun(Reason.DEADLINE, "The upstream gave no answer within the deadline.")
+        val CONNECTION_LOST =
+            Verdict.MayHaveRun(Reason.UPSTREAM_LOST, "The connection to the upstream was lost before its answer.")
         private const val CONNECT_MILLIS = 1_000L
         private const val STOP_MILLIS = 2_000L
         private const val IDLE_SECONDS = 30L
         private const val LARGEST_IDLE_CONNECTIONS = 64
         private const val THREAD_IDLE_SECONDS = 10L
         private const val LARGEST_THREADS = 256
-        private val JSON_TYPE = "application/json".toMediaType()
 
         private fun threadPool(): ExecutorService =
             ThreadPoolExecutor(
@@ -196,50 +184,5 @@
                 maxRequests = Int.MAX_VALUE
                 maxRequestsPerHost = Int.MAX_VALUE
             }
-
-        private fun taskUrl(
-            upstream: UpstreamAnnouncement,
-            task: TaskId,
-        ): HttpUrl =
-            upstream.address
-                .toHttpUrl()
-                .newBuilder()
-                .addPathSegment("tasks")
-                .addPathSegment(task.toString())
-                .build()
-
-        private fun requestBody(
-            specification: TaskSpecification,
-            remainingMillis: Long,
-        ): String =
-            buildJsonObject {
-                put("operation", JsonPrimitive(specification.operation.value))
-                put("payload", rawJson(specification.payload))
-                put("remainingMillis", JsonPrimitive(remainingMillis))
-            }.toString()
-
-        @OptIn(ExperimentalSerializationApi::class)
-        private fun rawJson(text: String): JsonElement =
-            if (text.trim() == JsonNull.content) JsonNull else JsonUnquotedLiteral(text)
-
-        private fun outcomeOf(response: Response): TaskOutcome =
-            response.use {
-                if (!response.isSuccessful) return failed("The upstream answered with status ${response.code}.")
-                val source = response.body.source()
-                if (source.request(LARGEST_ANSWER_BYTES + 1)) return failed("The upstream's answer is too large.")
-                val answer = source.readUtf8()
-                if (isJson(answer)) TaskOutcome.Succeeded(answer) else failed("The upstream's answer is not JSON.")
-            }
-
-        private fun failed(detail: String): TaskOutcome =
-            TaskOutcome.Ended(Verdict.Failed(Reason.UPSTREAM_FAILED, detail))
-
-        private fun isJson(text: String): Boolean =
-            try {
-                Json.parseToJsonElement(text)
-                true
-            } catch (_: SerializationException) {
-                false
-            }
     }
 }
