--- a/egretlock-agent/src/test/kotlin/io/egretlock/agent/HttpUpstreamClientTest.kt
+++ b/egretlock-agent/src/test/kotlin/io/egretlock/agent/HttpUpstreamClientTest.kt
@@ -10,9 +10,12 @@
 import io.egretlock.core.placement.UpstreamAnnouncement
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Test
+import java.io.BufferedReader
 import java.net.ServerSocket
+import java.net.Socket
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicInteger
 import kotlin.concurrent.thread
 
 class HttpUpstreamClientTest {
@@ -48,7 +51,7 @@
 
     @Test
     fun `given an answer beyond the limit, when a task is run, then it has failed`() =
-        answered("\"${"x".repeat(HttpUpstreamClient.LARGEST_ANSWER_BYTES.toInt())}\"") {
+        answered("\"${"x".repeat(TaskCodec.LARGEST_ANSWER_BYTES.toInt())}\"") {
             assertEquals(failed("The upstream's answer is too large."), it)
         }
 
@@ -77,37 +80,13 @@
 
     @Test
     fun `given an idle connection closed by the upstream, when a task is run, then it is not sent again elsewhere`() {
-        ServerSocket(0).use { listener ->
-            val received = CompletableFuture<Int>()
-            thread(isDaemon = true) { received.complete(serveOnceThenCloseEach(listener)) }
-            val announcement =
-                UpstreamAnnouncement(ServiceName("net-check"), 1, 2, "http://127.0.0.1:${listener.localPort}")
+        FailingServer().use { server ->
+            val announcement = UpstreamAnnouncement(ServiceName("net-check"), 1, 2, "http://127.0.0.1:${server.port}")
             val client = HttpUpstreamClient()
             assertEquals(CallEnd.Ended(TaskOutcome.Succeeded("1")), run(announcement, client = client))
             assertEquals(lost(HttpUpstreamClient.CONNECTION_LOST), run(announcement, client = client))
             client.close()
-            listener.close()
-            assertEquals(2, received.get(DEADLINE_MILLIS, TimeUnit.MILLISECONDS))
-        }
-    }
-
-    /** Answers the first request; takes the second on the same connection and closes it. Returns all requests seen. */
-    private fun serveOnceThenCloseEach(listener: ServerSocket): Int {
-        var requests = 0
-        while (true) {
-            val socket = runCatching { listener.accept() }.getOrNull() ?: return requests
-            socket.use {
-                val reader = it.getInputStream().bufferedReader()
-                while (true) {
-                    val head = generateSequence { reader.readLine() }.takeWhile { line -> line.isNotEmpty() }.toList()
-                    if (head.isEmpty()) break
-                    requests++
-                    val length = head.first { line -> line.startsWith("Content-Length") }.substringAfter(": ").toInt()
-                    repeat(length) { reader.read() }
-                    if (requests > 1) break
-                    it.getOutputStream().write("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n1".toByteArray())
-                }
-            }
+            assertEquals(2, server.requests.get())
         }
     }
 
@@ -129,8 +108,34 @@
     private fun failed(detail: String) =
         CallEnd.Ended(TaskOutcome.Ended(Verdict.Failed(Reason.UPSTREAM_FAILED, detail)))
 
-    private fun lost(detail: String): CallEnd =
-        CallEnd.Ended(TaskOutcome.Ended(Verdict.MayHaveRun(Reason.UPSTREAM_LOST, detail)))
+    private fun lost(verdict: Verdict): CallEnd = CallEnd.Ended(TaskOutcome.Ended(verdict))
+
+    /** Answers its first request and closes the connection on every other, after reading the request. */
+    private class FailingServer : AutoCloseable {
+        private val listener = ServerSocket(0)
+        val port = listener.localPort
+        val requests = AtomicInteger()
+
+        init {
+            thread(isDaemon = true) { runCatching { while (true) listener.accept().use(::serve) } }
+        }
+
+        override fun close() = listener.close()
+
+        private fun serve(socket: Socket) {
+            val reader = socket.getInputStream().bufferedReader()
+            while (readRequest(reader) && requests.incrementAndGet() == 1) {
+                socket.getOutputStream().write("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n1".toByteArray())
+            }
+        }
+
+        private fun readRequest(reader: BufferedReader): Boolean {
+            val head = generateSequence { reader.readLine() }.takeWhile { it.isNotEmpty() }.toList()
+            val length = head.firstOrNull { it.startsWith("Content-Length") } ?: return false
+            repeat(length.substringAfter(": ").toInt()) { reader.read() }
+            return true
+        }
+    }
 
     private companion object {
         const val DEADLINE_MILLIS = 20_000L
