--- a/egretlock-agent/src/main/kotlin/io/egretlock/agent/Main.kt
+++ b/egretlock-agent/src/main/kotlin/io/egretlock/agent/Main.kt
@@ -5,6 +5,7 @@
 import io.egretlock.process.Setting
 import io.egretlock.process.SettingFault
 import io.egretlock.process.SettingReader
+import io.javalin.util.JavalinBindException
 import kotlinx.coroutines.runBlocking
 import okhttp3.OkHttpClient
 import okhttp3.Request
@@ -42,7 +43,11 @@
 private fun run(settings: AgentSettings) {
     LogSetup.apply(settings.logFormat)
     val process = AgentProcess(settings)
-    process.start()
+    try {
+        process.start()
+    } catch (inUse: JavalinBindException) {
+        fail(EXIT_FAILURE, listOf("An address can't be bound: ${inUse.message}"))
+    }
     Runtime.getRuntime().addShutdownHook(
         Thread {
             runBlocking { process.stop() }
--- a/egretlock-agent/src/test/kotlin/io/egretlock/agent/AgentProcessTest.kt
+++ b/egretlock-agent/src/test/kotlin/io/egretlock/agent/AgentProcessTest.kt
@@ -2,10 +2,8 @@
 
 import io.egretlock.agent.AgentStandUp.Companion.start
 import io.egretlock.core.job.ProcessId
-import io.egretlock.core.job.Reason
 import io.egretlock.core.job.TaskOutcome
 import io.egretlock.core.job.TeamName
-import io.egretlock.core.job.Verdict
 import io.egretlock.core.roster.EntryMember
 import io.egretlock.core.roster.NodeAddress
 import io.egretlock.core.roster.Roster
@@ -155,8 +153,7 @@
             upstream.awaitRequest()
             val stopped = async(Dispatchers.IO) { agent.close() }
             val finished = session.receive<Finished>()
-            val verdict = Verdict.MayHaveRun(Reason.UPSTREAM_LOST, HttpUpstreamClient.CONNECTION_LOST)
-            assertEquals(TaskOutcome.Ended(verdict), finished.outcome)
+            assertEquals(TaskOutcome.Ended(HttpUpstreamClient.CONNECTION_LOST), finished.outcome)
             session.send(Acknowledge(listOf(finished.task)))
             stopped.await()
             release.complete(Unit)
--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/StoreReader.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/StoreReader.kt
@@ -44,6 +44,7 @@
         val members = roster?.members.orEmpty()
         val home = members.maxByOrNull { weight(it.entry, id) }
         return when {
+            createdAtMillis > System.currentTimeMillis() + CLOCK_MARGIN_MILLIS -> JobLocation.Nowhere(fromTheFuture())
             home == null ->
                 JobLocation.Nowhere(
                     Verdict.NotRun(Reason.NO_AUTHORITY, "No roster is known yet.", RETRY_MILLIS),
@@ -53,6 +54,9 @@
         }
     }
 
+    private fun fromTheFuture() =
+        Verdict.NotRun(Reason.CREATION_TIME, "The job's creation time is ahead of this entry's clock.")
+
     private suspend fun readOnce() {
         try {
             readRoster()
@@ -85,6 +89,7 @@
 
     private companion object {
         const val READ_INTERVAL_MILLIS = 500L
+        const val CLOCK_MARGIN_MILLIS = 2_000L
         const val RETRY_MILLIS = 1_000L
         const val ROSTER_KEY = "/egretlock/roster"
         const val GOLDEN_RATIO_MULTIPLIER = -1_640_531_527
