Refuse closed operations, and add `settings get` and `settings put`

Cause: LiveSettingsTest's case for a closed operation failed first: such jobs were queued, because nothing read the setting. Operators could only edit by HTTP. Change: jobs with a closed operation are refused as not run (reason operation-closed, come back after 30 s); what was accepted finishes.

--- a/egretlock-core/src/main/kotlin/io/egretlock/core/home/ServiceDispatchers.kt
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/home/ServiceDispatchers.kt
@@ -2,6 +2,7 @@
 
 import io.egretlock.core.job.Job
 import io.egretlock.core.job.JobId
+import io.egretlock.core.job.OperationName
 import io.egretlock.core.job.ProcessId
 import io.egretlock.core.job.Reason
 import io.egretlock.core.job.ServiceName
@@ -67,11 +68,14 @@
         deadlineAtMillis: Long,
         nowMillis: Long,
     ): Admission {
-        val team = teams[job.team]
+        val settings =
+            teams[job.team]?.settings
+                ?: return refused(Reason.UNKNOWN_TEAM, "Team '${job.team}' has no settings.")
+        val closed = job.tasks.firstOrNull { settings.isClosed(job.service, it.operation) }
         return when {
-            team == null -> refused(Reason.UNKNOWN_TEAM, "Team '${job.team}' has no settings.")
-            team.settings.service(job.service) == null ->
+            settings.service(job.service) == null ->
                 refused(Reason.UNKNOWN_SERVICE, "Team '${job.team}' has no service '${job.service}'.")
+            closed != null -> closed(job.team, closed.operation)
             else -> dispatcher(job.service).submit(job, deadlineAtMillis, nowMillis)
         }
     }
@@ -122,8 +126,23 @@
             }
         }
 
+    private fun closed(
+        team: TeamName,
+        operation: OperationName,
+    ) = Admission.Refused(
+        Verdict.NotRun(
+            Reason.OPERATION_CLOSED,
+            "Team '$team' has closed operation '$operation'.",
+            CLOSED_RETRY_MILLIS,
+        ),
+    )
+
     private fun refused(
         reason: Reason,
         detail: String,
     ) = Admission.Refused(Verdict.NotRun(reason, detail))
+
+    private companion object {
+        const val CLOSED_RETRY_MILLIS = 30_000L
+    }
 }
--- a/egretlock-core/src/main/kotlin/io/egretlock/core/job/Verdict.kt
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/job/Verdict.kt
@@ -55,6 +55,7 @@
     NO_UPSTREAM("no-upstream"),
     IMPOSSIBLE("impossible"),
     CONFLICTING_BODY("conflicting-body"),
+    OPERATION_CLOSED("operation-closed"),
     QUOTA("quota"),
     OVERLOADED("overloaded"),
     DRAINING("draining"),
--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/Main.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/Main.kt
@@ -17,6 +17,9 @@
   check    Checks the settings and prints every fault.
   dump     Prints the state of a running entry as JSON.
 
+  settings get    Prints a team's settings in force as YAML, with their revision.
+  settings put    Checks a team's settings in a YAML file, then stores them on top of a revision.
+
   COMMAND --help    Lists the command's flags with their environment variables.
   --version         Prints the version."""
 
@@ -29,6 +32,7 @@
         "run" -> run(commandLine.readSettings("run", flags, EntrySettings.ALL, EntrySettings::read))
         "check" -> check(flags)
         "dump" -> dump(flags)
+        "settings" -> SettingsCommand(commandLine).run(flags)
         "--version" -> println("egretlock-entry $VERSION")
         "--help", "-h" -> println(USAGE)
         else -> commandLine.fail(EXIT_USAGE, listOf(USAGE))
