Let a draining entry answer resubmissions of jobs that are in flight

Cause: PlannedStopTest, 'resubmitted at an entry that was told to stop': it answered 503 not run for jobs that were running, since a draining entry let no request in. And 'every entry is replaced in turn': callers saw connections end without an answer, because the listener closed right after the last answer, before a balancer could see /ready. Ruled out: the home, which joined the same jobs when asked through the other entry.

--- a/egretlock-core/src/test/kotlin/io/egretlock/core/home/HomeTest.kt
+++ b/egretlock-core/src/test/kotlin/io/egretlock/core/home/HomeTest.kt
@@ -60,6 +60,17 @@
         assertEquals(Reason.CONFLICTING_BODY, (second.outcome as JobOutcome.WithoutAnswer).verdict.reason)
     }
 
+    @Test
+    fun `given a home that claims no more, when jobs come, then a known one is joined and a new one is not run`() {
+        connect(agent, credits = 8)
+        home.submit(job("a", tasks = 1), remainingMillis = 1_000, nowMillis = 0)
+        home.stopClaiming()
+        assertEquals(Submission.Waiting, home.submit(job("a", tasks = 1), remainingMillis = 1_000, nowMillis = 1))
+        val refused = home.submit(job("b", tasks = 1), remainingMillis = 1_000, nowMillis = 1) as Submission.Ended
+        val verdict = Verdict.NotRun(Reason.DRAINING, "The home of the job is draining.", retryAfterMillis = 1_000)
+        assertEquals(JobOutcome.WithoutAnswer(verdict), refused.outcome)
+    }
+
     @Test
     fun `given a placed task, when a new incarnation of its agent connects, then the job may have run`() {
         connect(agent, credits = 8)
--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/Drain.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/Drain.kt
@@ -3,32 +3,32 @@
 import java.util.concurrent.atomic.AtomicBoolean
 import java.util.concurrent.atomic.AtomicInteger
 
-/** Counts requests in flight and, once draining, lets no new one in. Safe for concurrent use. */
+/**
+ * Counts requests in flight and tells whether the entry is draining. Requests are let in until the listener closes, as
+ * they may ask for jobs that are in flight; their home refuses new jobs. Safe for concurrent use.
+ */
 class Drain {
     private val draining = AtomicBoolean()
     private val inFlight = AtomicInteger()
 
-    /** Requests that were let in and have not left. */
+    /** Requests that were counted in and have no answer yet. */
     val requestsInFlight: Int
         get() = inFlight.get()
 
-    /** Whether new requests are refused. */
+    /** Whether a graceful shutdown has begun. */
     val isDraining: Boolean
         get() = draining.get()
 
-    /** Lets a request in; false while draining. */
-    fun enter(): Boolean {
+    /** Counts a request in. */
+    fun enter() {
         inFlight.incrementAndGet()
-        if (!draining.get()) return true
-        inFlight.decrementAndGet()
-        return false
     }
 
-    /** A request that was let in has its answer. */
+    /** A request that was counted in has its answer. */
     fun leave() {
         inFlight.decrementAndGet()
     }
 
-    /** Refuses new requests from now on. */
+    /** Begins a graceful shutdown. */
     fun begin() = draining.set(true)
 }
--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/EntryProcess.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/EntryProcess.kt
@@ -73,9 +73,10 @@
         logger.event(EntryEvent.STARTED, "entry" to self.entry, "failureDomain" to settings.failureDomain)
     }
 
-    /** Refuses new jobs, answers those in flight, then stops. */
+    /** Claims no new jobs, answers those in flight, then stops. */
     suspend fun stop() {
         drain.begin()
+        home.send(HomeInput.StopClaiming)
         logger.event(EntryEvent.DRAINING, "requests" to drain.requestsInFlight)
         val drained = withTimeoutOrNull(settings.drainMillis) { awaitDrained() }
         if (drained == null) logger.event(EntryEvent.DRAIN_TIMED_OUT, "requests" to drain.requestsInFlight)
@@ -93,7 +94,9 @@
         return json.encodeToString(EntryDump(self, ready, drain.requestsInFlight, storeReader.rosters(), reply.await()))
     }
 
+    /** The balancer needs time to notice that `/ready` has changed; until then it sends requests. */
     private suspend fun awaitDrained() {
+        delay(settings.noticeMillis)
         while (drain.requestsInFlight > 0 || liveJobs() > 0) delay(DRAIN_CHECK_MILLIS)
     }
 
--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/EntrySettings.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/EntrySettings.kt
@@ -16,6 +16,7 @@
  * @property advertisedLinkAddress where agents and other entries dial; differs behind an address translation.
  * @property storeAddresses addresses of the platform's key-value service.
  * @property operatorToken bearer token for the inspection routes; null where their address is local.
+ * @property noticeMillis time that the balancer has to notice a graceful shutdown before connections are refused.
  * @property drainMillis longest time that a graceful shutdown may take.
  */
 data class EntrySettings(
@@ -28,6 +29,7 @@
     val storeAddresses: List<NodeAddress>,
     val operatorToken: String?,
     val timing: LinkTiming,
+    val noticeMillis: Long,
     val drainMillis: Long,
     val logFormat: LogFormat,
 ) {
@@ -43,6 +45,8 @@
         private val TOKEN = Setting("operator-token", "Bearer token for inspection; needed if not on loopback.")
         private val HEARTBEAT = Setting("heartbeat-millis", "Interval between heartbeats.", "500")
         private val SILENCE = Setting("silence-millis", "Silence that ends a connection.", "2000")
+        private val NOTICE =
+            Setting("notice-millis", "Time that the balancer has to notice a graceful shutdown.", "3000")
         private val DRAIN = Setting("drain-millis", "Longest graceful shutdown.", "30000")
         private val LOG_FORMAT = Setting("log-format", "Form of the log: text or json.", "text")
         private val HEARTBEAT_RANGE_MILLIS = 10L..10_000L
@@ -62,6 +66,7 @@
                 TOKEN,
                 HEARTBEAT,
                 SILENCE,
+                NOTICE,
                 DRAIN,
                 LOG_FORMAT,
             )
@@ -85,6 +90,7 @@
                         heartbeatMillis = reader.number(HEARTBEAT, HEARTBEAT_RANGE_MILLIS),
                         silenceMillis = reader.number(SILENCE, SILENCE_RANGE_MILLIS),
                     ),
+                noticeMillis = reader.number(NOTICE, DRAIN_RANGE_MILLIS),
                 drainMillis = reader.number(DRAIN, DRAIN_RANGE_MILLIS),
                 logFormat = LogFormat.valueOf(reader.choice(LOG_FORMAT, listOf("text", "json")).uppercase()),
             )
--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/HomeInput.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/HomeInput.kt
@@ -75,6 +75,9 @@
         val reply: CompletableDeferred<OutcomeReport>,
     ) : HomeInput
 
+    /** Claim no more jobs. */
+    data object StopClaiming : HomeInput
+
     /** Time has passed. */
     data object Tick : HomeInput
 
--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/HomeTask.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/HomeTask.kt
@@ -90,6 +90,7 @@
             is HomeInput.Settings -> applySettings(input.stored)
             is HomeInput.EntriesChanged -> home.entriesChanged(input.share)
             is HomeInput.Outcomes -> input.reply.complete(outcomes(input.team))
+            is HomeInput.StopClaiming -> home.stopClaiming()
             is HomeInput.Tick -> home.tick(nowMillis())
             is HomeInput.Dump -> input.reply.complete(dump())
         }
--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/JobRoutes.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/JobRoutes.kt
@@ -134,13 +134,8 @@
         context: Context,
         body: suspend () -> Unit,
     ) {
-        if (!drain.enter()) {
-            return problem(
-                context,
-                null,
-                Verdict.NotRun(Reason.DRAINING, "This entry is draining.", DRAINING_RETRY_MILLIS),
-            )
-        }
+        drain.enter()
+        if (drain.isDraining) context.header("Connection", "close")
         context.future {
             val answered: CompletableFuture<Unit> = scope.future { body() }
             answered.whenComplete { _, _ -> drain.leave() }
@@ -153,7 +148,6 @@
         const val DISCARD_BUFFER_BYTES = 65_536
         const val MOST_DISCARDED_BYTES = 64L * 1_024 * 1_024
         const val MILLIS_PER_SECOND = 1_000L
-        const val DRAINING_RETRY_MILLIS = 1_000L
         val json = Json { encodeDefaults = true }
     }
 }
--- a/egretlock-testing/src/main/kotlin/io/egretlock/testing/system/EntryNode.kt
+++ b/egretlock-testing/src/main/kotlin/io/egretlock/testing/system/EntryNode.kt
@@ -42,6 +42,7 @@
                 "--store-address" to storeUrl,
                 "--heartbeat-millis" to timing.heartbeatMillis,
                 "--silence-millis" to timing.silenceMillis,
+                "--notice-millis" to timing.noticeMillis,
                 "--drain-millis" to timing.drainMillis,
             ) + advertised()
         val arguments = flags.flatMap { (flag, value) -> listOf(flag, value.toString()) }
