Compare an agent's speed with the mean of the others

Cause: an agent counted as slow by its learned slowness alone, whose unit is the agent that ran first. The capacity lost sent short checks to slower workers and lengthened every queue. Change: slow means four times slower than the other agents' mean by work; a new test of AgentPool failed before.

--- a/egretlock-core/src/main/kotlin/io/egretlock/core/placement/AgentPool.kt
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/placement/AgentPool.kt
@@ -37,6 +37,7 @@
         get() = (entryShare.of((slots * longShare).roundToInt()) - runningLong).coerceAtLeast(0)
 
     private var allNominalRate = 0.0
+    private var nominalSlots = 0
 
     /** Agents that are neither slow nor suspended. */
     private var fitAgents = 0
@@ -199,27 +200,35 @@
         include(agent)
     }
 
+    /** Mean slowness of the agents that are in the sums, by the work that they do. */
+    private fun othersSlowness(): Double =
+        if (nominalSlots == 0) Double.POSITIVE_INFINITY else nominalSlots / allNominalRate
+
     private fun exclude(agent: AgentState) {
         free.remove(agent)
         free.countSlots(agent, -agent.view.upstream.slots)
         usableCredits -= agent.usableCredits
         allNominalRate -= agent.nominalRate
+        if (!agent.isSuspended) nominalSlots -= agent.view.upstream.slots
         slots -= agent.view.upstream.slots
         if (agent.isFit) fitAgents--
     }
 
     private fun include(agent: AgentState) {
+        agent.isSlow = agent.slowness > SLOW_RATIO * othersSlowness()
         if (agent.isSlow) slowAgents.add(agent) else slowAgents.remove(agent)
         agent.access = access(agent)
         if (agent.usableCredits > 0) free.add(agent)
         free.countSlots(agent, agent.view.upstream.slots)
         usableCredits += agent.usableCredits
         allNominalRate += agent.nominalRate
+        if (!agent.isSuspended) nominalSlots += agent.view.upstream.slots
         slots += agent.view.upstream.slots
         if (agent.isFit) fitAgents++
     }
 
     private companion object {
+        const val SLOW_RATIO = 4.0
         const val SLOW_PROBE_INTERVAL_MILLIS = 5_000L
     }
 }
--- a/egretlock-core/src/main/kotlin/io/egretlock/core/placement/AgentState.kt
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/placement/AgentState.kt
@@ -24,6 +24,7 @@
     var access = AgentAccess.OPEN
     var isSuspended = false
     var mayProbe = false
+    var isSlow = false
     var credits = 0
     var running = 0
     var runningLong = 0
@@ -44,9 +45,6 @@
                 AgentAccess.CLOSED -> 0
             }
 
-    val isSlow: Boolean
-        get() = slowness > SLOW_RATIO
-
     val isFit: Boolean
         get() = !isSlow && !isSuspended
 
@@ -64,6 +62,5 @@
 
     private companion object {
         const val SPEED_STEP = 0.4
-        const val SLOW_RATIO = 4.0
     }
 }
--- a/egretlock-core/src/main/kotlin/io/egretlock/core/placement/RunTimeLearner.kt
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/placement/RunTimeLearner.kt
@@ -94,7 +94,7 @@
         ) {
             val raw = ln(runMillis.toDouble())
             val weight = weight(count, OPERATION_WEIGHT)
-            level += weight * (raw - agent.level - level)
+            level += weight(count, LEVEL_WEIGHT) * (raw - agent.level - level)
             meanMillis += weight * (runMillis / exp(agent.level) - meanMillis)
             val deviation = raw - rawLevel
             rawLevel += weight * deviation
@@ -112,6 +112,7 @@
         const val LOAD_FACTOR = 0.75f
         const val AGENTS_LIMIT = 8_192
         const val OPERATION_WEIGHT = 0.02
+        const val LEVEL_WEIGHT = 0.002
         const val AGENT_WEIGHT = 0.1
         const val TAIL_DEVIATIONS = 2.33
 
--- a/egretlock-core/src/test/kotlin/io/egretlock/core/placement/AgentPoolTest.kt
+++ b/egretlock-core/src/test/kotlin/io/egretlock/core/placement/AgentPoolTest.kt
@@ -1,12 +1,13 @@
 package io.egretlock.core.placement
 
+import io.egretlock.core.job.ProcessId
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertNull
 import org.junit.jupiter.api.Test
 
 class AgentPoolTest {
     private val runTimes = RunTimeLearner()
-    private val pool = AgentPool(runTimes)
+    private var pool = AgentPool(runTimes)
 
     @Test
     fun `given agents of different speed, when chosen, then the fastest with a credit comes first`() {
@@ -38,6 +39,18 @@
         assertNull(startNext())
     }
 
+    @Test
+    fun `given agents within reach of the mean speed, when chosen, then none is closed`() {
+        val slowness = mapOf("fast" to 1.0, "middle" to 3.0, "slower" to 3.5, "slowest" to 4.8)
+        val speeds =
+            object : RunTimes by DeclaredRunTimes() {
+                override fun slowness(agent: ProcessId): Double = slowness.getValue(agent.name)
+            }
+        pool = AgentPool(speeds)
+        slowness.keys.forEach { withAgent(it, credits = 1) }
+        assertEquals(slowness.keys, List(4) { startNext() }.toSet())
+    }
+
     @Test
     fun `given a very slow agent, when it is the only one left, then it is used`() {
         learnSpeeds("normal" to 100L, "normal" to 100L, "normal" to 100L, "normal" to 100L, "slow" to 1_500L)
