Bound the answers an agent keeps, and leave freed slots with the entry under load

Cause: answers up to 16 MB each could exceed the agent's heap while an entry was away; an entry that had just connected counted as asking, so freed slots went idle to it while another had work ('given an entry under load'). Ruled out: a larger heap (the footprint goes with it).

--- a/egretlock-agent/src/main/kotlin/io/egretlock/agent/TaskCodec.kt
+++ b/egretlock-agent/src/main/kotlin/io/egretlock/agent/TaskCodec.kt
@@ -24,7 +24,7 @@
 /** Writes a task as an upstream's HTTP request, and reads the upstream's answer. */
 internal object TaskCodec {
     /** Longest answer that is taken. */
-    const val LARGEST_ANSWER_BYTES = 16L * 1_024 * 1_024
+    const val LARGEST_ANSWER_BYTES = 1L * 1_024 * 1_024
 
     private val JSON_TYPE = "application/json".toMediaType()
 
--- a/egretlock-core/src/main/kotlin/io/egretlock/core/gate/SlotLedger.kt
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/gate/SlotLedger.kt
@@ -135,7 +135,7 @@
 
     /** Recalls one unused credit from an entry that keeps asking, for each entry that asks and holds nothing. */
     fun relieve(): List<CreditAction> {
-        val starving = holders.values.count { it.wanted > 0 && it.holding == 0 }
+        val starving = holders.values.count { it.asks && it.holding == 0 }
         val due = starving - holders.values.sumOf { it.recalled }
         return recall(due) { it.unused }
     }
@@ -151,7 +151,7 @@
     }
 
     private fun nextHolder(): Holder? =
-        holders.values.filter { it.wanted > 0 }.minWithOrNull(compareBy({ it.holding }, { it.lastTurn }))
+        holders.values.filter { it.asks }.minWithOrNull(compareBy({ it.holding }, { it.lastTurn }))
             ?: holders.values.minWithOrNull(compareBy({ it.granted }, { it.lastTurn }))
 
     private fun grantOne(holder: Holder) {
--- a/egretlock-core/src/main/kotlin/io/egretlock/core/gate/StartGate.kt
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/gate/StartGate.kt
@@ -11,10 +11,12 @@
  *
  * @property retentionMillis time for which an ended or revoked task is remembered, and an answer waits for its entry.
  * @property largestRecords tasks remembered at once; while there are as many, new tasks are refused.
+ * @property largestKeptCharacters length of all answers that wait for their entries; beyond it, new tasks are refused.
  */
 data class GateLimits(
     val retentionMillis: Long = 900_000,
     val largestRecords: Int = 200_000,
+    val largestKeptCharacters: Long = 16_000_000,
 )
 
 /** What a [StartGate] says to a request to start a task. */
@@ -42,6 +44,7 @@
     private val records = HashMap<TaskId, TaskRecord>()
     private val runningTasks = LinkedHashSet<TaskId>()
     private val answers = LinkedHashMap<TaskId, KeptAnswer>()
+    private var keptCharacters = 0L
     private val expiries = ArrayDeque<Expiry>()
 
     /** Tasks handed to the upstream that have not ended. */
@@ -71,6 +74,7 @@
             record.hasStarted() -> StartDecision.DUPLICATE
             record != null && record.attempt >= attempt.attempt -> StartDecision.REFUSED
             record == null && records.size >= limits.largestRecords -> StartDecision.REFUSED
+            keptCharacters >= limits.largestKeptCharacters -> StartDecision.REFUSED
             else -> admit(owner, attempt)
         }
     }
@@ -246,9 +250,12 @@
     ) {
         records[task] = record
         if (record is TaskRecord.Running) runningTasks += task else runningTasks -= task
-        if (record is TaskRecord.Finished) answers[task] = record.answer else answers -= task
+        val replaced = if (record is TaskRecord.Finished) answers.put(task, record.answer) else answers.remove(task)
+        keptCharacters += lengthOf(answers[task]) - lengthOf(replaced)
     }
 
+    private fun lengthOf(answer: KeptAnswer?): Int = (answer?.outcome as? TaskOutcome.Succeeded)?.answer?.length ?: 0
+
     private fun TaskRecord?.hasStarted(): Boolean = this != null && this !is TaskRecord.Revoked
 
     private fun ProcessId.precedes(other: ProcessId): Boolean = name == other.name && incarnation < other.incarnation
--- a/egretlock-core/src/test/kotlin/io/egretlock/core/gate/SlotLedgerTest.kt
+++ b/egretlock-core/src/test/kotlin/io/egretlock/core/gate/SlotLedgerTest.kt
@@ -39,6 +39,16 @@
         assertEquals(listOf(Recall(second, 2)), ledger.requested(first, 4))
     }
 
+    @Test
+    fun `given an entry under load, when another connects and asks for nothing, then freed slots stay`() {
+        ledger.resize(2)
+        ledger.connected(first)
+        ledger.requested(first, 5)
+        repeat(2) { assertTrue(ledger.spend(first)) }
+        ledger.connected(second)
+        assertEquals(FreedSlot(credit = true, none), ledger.freed(first))
+    }
+
     @Test
     fun `given idle credits elsewhere, when a loaded entry asks, then they are recalled and granted to it`() {
         ledger.connected(first)
--- a/egretlock-core/src/test/kotlin/io/egretlock/core/gate/StartGateTest.kt
+++ b/egretlock-core/src/test/kotlin/io/egretlock/core/gate/StartGateTest.kt
@@ -13,7 +13,7 @@
 import org.junit.jupiter.api.Test
 
 class StartGateTest {
-    private val gate = StartGate(GateLimits(retentionMillis = 100, largestRecords = 2))
+    private val gate = StartGate(GateLimits(retentionMillis = 100, largestRecords = 2, largestKeptCharacters = 4))
     private val entry = ProcessId("entry-1", 1)
     private val other = ProcessId("entry-2", 1)
     private val task = TaskId(JobId("job"), 0)
@@ -126,6 +126,16 @@
         assertEquals(StartDecision.REFUSED, gate.start(entry, TaskAttempt(TaskId(JobId("job"), 2), 1), 0))
     }
 
+    @Test
+    fun `given as many kept answers as allowed, when another task is started, then it is refused until acknowledged`() {
+        gate.start(entry, first, 0)
+        gate.finish(task, outcome, 5, 5)
+        val next = TaskAttempt(TaskId(JobId("job"), 1), 1)
+        assertEquals(StartDecision.REFUSED, gate.start(entry, next, 6))
+        gate.acknowledge(entry, listOf(task), 7)
+        assertEquals(StartDecision.ADMITTED, gate.start(entry, next, 8))
+    }
+
     @Test
     fun `given an answer for an earlier incarnation, when the entry is back, then the answer is dropped`() {
         gate.start(entry, first, 0)
