--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/SettingsRoutes.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/SettingsRoutes.kt
@@ -103,7 +103,7 @@
         settings: TeamSettings,
         expectedRevision: Long,
     ) {
-        if (!drain.enter()) return unavailable(context, "This entry is draining.")
+        drain.enter()
         context.future {
             val answered: CompletableFuture<Unit> =
                 scope.future { tell(context, settings.team, edited(settings, expectedRevision)) }
