Stop tasks of an entry's earlier run, and wait only for entries that may come back

Cause: a task that ended after its entry had restarted left an answer that nobody could acknowledge, so a drain lasted its whole limit and the task kept its slot; found by reading, and shown by 'given a task for an earlier incarnation'. Ruled out: dropping the record (the task could then start again). Change: the gate knows the latest incarnation of each entry and keeps no answer for an earlier one; the agent stops such tasks; a drain waits for entries that are connected or in the newest roster.

--- a/egretlock-agent/src/main/kotlin/io/egretlock/agent/Agent.kt
+++ b/egretlock-agent/src/main/kotlin/io/egretlock/agent/Agent.kt
@@ -118,7 +118,7 @@
         val newer = settingsReplica.newerThan(command.welcome.settings)
         if (newer.isNotEmpty()) connections.send(entry, SettingsUpdate(newer))
         if (!applied) connections.send(entry, SettingsApplied(settingsReplica.revisions))
-        runner.resend(entry)
+        runner.entryConnected(entry)
         connections.send(ledger.connected(entry))
     }
 
@@ -188,7 +188,13 @@
 
     private fun completeDrain() {
         val done = drained ?: return
-        if (runner.runningCount == 0 && gate.unacknowledged.isEmpty()) done.complete(Unit)
+        if (runner.runningCount == 0 && gate.unacknowledged.none { isExpected(it.owner) }) done.complete(Unit)
+    }
+
+    /** Whether an entry is connected or may come back: the newest roster lists it, or no roster is known. */
+    private fun isExpected(entry: ProcessId): Boolean {
+        val newest = rosters.maxByOrNull { it.version } ?: return true
+        return connections[entry] != null || newest.members.any { it.entry == entry }
     }
 
     private fun dump(): AgentDump =
--- a/egretlock-agent/src/main/kotlin/io/egretlock/agent/TaskRunner.kt
+++ b/egretlock-agent/src/main/kotlin/io/egretlock/agent/TaskRunner.kt
@@ -173,9 +173,9 @@
         gate.answers(entry, message.attempts).forEach { deliver(it, credit = false) }
     }
 
-    /** Sends the answers that [entry] has not acknowledged. */
-    fun resend(entry: ProcessId) {
-        gate.forgetEarlier(entry, nowMillis())
+    /** Sends the answers that [entry] has not acknowledged, and stops the tasks of its earlier incarnations. */
+    fun entryConnected(entry: ProcessId) {
+        gate.ownerStarted(entry, nowMillis()).forEach(::cancel)
         gate.unacknowledged.filter { it.owner == entry }.forEach { deliver(it, credit = false) }
     }
 
--- a/egretlock-agent/src/test/kotlin/io/egretlock/agent/EntryDialerTest.kt
+++ b/egretlock-agent/src/test/kotlin/io/egretlock/agent/EntryDialerTest.kt
@@ -89,6 +89,26 @@
             listOf(agent, entry, upstream).forEach { it.close() }
         }
 
+    @Test
+    fun `given a running task of an entry that restarts, when it is back, then the task is stopped`() =
+        runBlocking {
+            val release = CompletableFuture<Unit>()
+            val upstream = UpstreamStandIn(UpstreamStandIn.held(release, "7"))
+            val entry = EntryStandIn()
+            val agent = AgentStandUp(listOf(entry.address))
+            agent.announce(upstream.announcement())
+            val first = entry.session()
+            first.receive<CreditGrant>()
+            first.send(start(0))
+            upstream.awaitRequest()
+            entry.restart(listOf(first))
+            upstream.awaitRequest(2)
+            release.complete(Unit)
+            agent.close()
+            listOf(entry, upstream).forEach { it.close() }
+            assertEquals(listOf("POST /tasks/job:0", "DELETE /tasks/job:0"), upstream.requests.toList())
+        }
+
     @Test
     fun `given two addresses of one entry, when both are dialled, then one connection is used`() =
         runBlocking {
--- a/egretlock-core/src/main/kotlin/io/egretlock/core/gate/StartGate.kt
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/gate/StartGate.kt
@@ -46,6 +46,7 @@
     private val answers = LinkedHashMap<TaskId, KeptAnswer>()
     private var keptCharacters = 0L
     private val expiries = ArrayDeque<Expiry>()
+    private val latestIncarnations = HashMap<String, Long>()
 
     /** Tasks handed to the upstream that have not ended. */
     val running: Set<TaskId>
@@ -99,7 +100,7 @@
         exclude(TaskAttempt(task, record.attempt), nowMillis)
     }
 
-    /** Keeps the outcome of a running task; null if the task is not running. */
+    /** Keeps the outcome of a running task; null if the task is not running or nobody waits for its answer. */
     fun finish(
         task: TaskId,
         outcome: TaskOutcome,
@@ -108,6 +109,10 @@
     ): KeptAnswer? {
         val record = records[task] as? TaskRecord.Running ?: return null
         val answer = KeptAnswer(TaskAttempt(task, record.attempt), record.owner, outcome, runMillis)
+        if (isReplaced(record.owner)) {
+            settle(task, record, nowMillis)
+            return null
+        }
         store(task, TaskRecord.Finished(record.attempt, answer, nowMillis))
         return answer
     }
@@ -147,13 +152,18 @@
             }
         }
 
-    /** Drops the answers for earlier incarnations of [owner], which nobody can acknowledge any more. */
-    fun forgetEarlier(
+    /**
+     * Learns that [owner] has replaced its earlier incarnations, for which nobody can acknowledge answers any more. Drops
+     * those answers and returns the tasks that still run for them.
+     */
+    fun ownerStarted(
         owner: ProcessId,
         nowMillis: Long,
-    ) {
-        val stale = answers.filterValues { it.owner.precedes(owner) }.keys
+    ): List<TaskId> {
+        latestIncarnations.merge(owner.name, owner.incarnation, ::maxOf)
+        val stale = answers.filterValues { isReplaced(it.owner) }.keys
         stale.forEach { task -> settle(task, records.getValue(task), nowMillis) }
+        return runningTasks.filter { task -> isReplaced((records.getValue(task) as TaskRecord.Running).owner) }
     }
 
     /** Forgets what has been remembered for longer than the retention period. */
@@ -258,7 +268,7 @@
 
     private fun TaskRecord?.hasStarted(): Boolean = this != null && this !is TaskRecord.Revoked
 
-    private fun ProcessId.precedes(other: ProcessId): Boolean = name == other.name && incarnation < other.incarnation
+    private fun isReplaced(owner: ProcessId): Boolean = owner.incarnation < (latestIncarnations[owner.name] ?: 0)
 
     private data class Expiry(
         val task: TaskId,
--- a/egretlock-core/src/test/kotlin/io/egretlock/core/gate/StartGateTest.kt
+++ b/egretlock-core/src/test/kotlin/io/egretlock/core/gate/StartGateTest.kt
@@ -137,15 +137,24 @@
     }
 
     @Test
-    fun `given an answer for an earlier incarnation, when the entry is back, then the answer is dropped`() {
+    fun `given an answer for an earlier incarnation, when the entry has restarted, then the answer is dropped`() {
         gate.start(entry, first, 0)
         gate.finish(task, outcome, 5, 5)
-        gate.forgetEarlier(other, 6)
+        gate.ownerStarted(other, 6)
         assertEquals(1, gate.unacknowledged.size)
-        gate.forgetEarlier(entry.copy(incarnation = 2), 6)
+        gate.ownerStarted(entry.copy(incarnation = 2), 6)
         assertEquals(0, gate.unacknowledged.size)
     }
 
+    @Test
+    fun `given a task for an earlier incarnation, when the entry has restarted, then no answer of it is kept`() {
+        gate.start(entry, first, 0)
+        assertEquals(listOf(task), gate.ownerStarted(entry.copy(incarnation = 2), 1))
+        assertNull(gate.finish(task, outcome, 5, 5))
+        assertEquals(emptyList<KeptAnswer>(), gate.unacknowledged)
+        assertEquals(StartDecision.DUPLICATE, gate.start(entry, second, 6))
+    }
+
     @Test
     fun `given a task that is not running, when it finishes, then there is no answer`() {
         assertNull(gate.finish(task, outcome, 5, 5))
