--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/EntrySettings.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/EntrySettings.kt
@@ -17,6 +17,7 @@
  * @property storeAddresses addresses of the platform's key-value service.
  * @property operatorToken bearer token for the inspection routes; null where their address is local.
  * @property teamTokens with which operators edit a team's settings; a team without a token can't be edited here.
+ * @property noticeMillis time that the balancer has to notice a graceful shutdown before connections are refused.
  * @property drainMillis longest time that a graceful shutdown may take.
  */
 data class EntrySettings(
@@ -30,6 +31,7 @@
     val operatorToken: String?,
     val teamTokens: TeamTokens,
     val timing: LinkTiming,
+    val noticeMillis: Long,
     val drainMillis: Long,
     val logFormat: LogFormat,
 ) {
@@ -48,6 +50,8 @@
             Setting("team-tokens", "Tokens for editing settings, as team=token,team=token.", secret = true)
         private val HEARTBEAT = Setting("heartbeat-millis", "Interval between heartbeats.", "500")
         private val SILENCE = Setting("silence-millis", "Silence that ends a connection.", "2000")
+        private val NOTICE =
+            Setting("notice-millis", "Time that the balancer has to notice a graceful shutdown.", "3000")
         private val DRAIN = Setting("drain-millis", "Longest graceful shutdown.", "30000")
         private val LOG_FORMAT = Setting("log-format", "Form of the log: text or json.", "text")
         private val HEARTBEAT_RANGE_MILLIS = 10L..10_000L
@@ -68,6 +72,7 @@
                 TEAM_TOKENS,
                 HEARTBEAT,
                 SILENCE,
+                NOTICE,
                 DRAIN,
                 LOG_FORMAT,
             )
@@ -92,6 +97,7 @@
                         heartbeatMillis = reader.number(HEARTBEAT, HEARTBEAT_RANGE_MILLIS),
                         silenceMillis = reader.number(SILENCE, SILENCE_RANGE_MILLIS),
                     ),
+                noticeMillis = reader.number(NOTICE, DRAIN_RANGE_MILLIS),
                 drainMillis = reader.number(DRAIN, DRAIN_RANGE_MILLIS),
                 logFormat = LogFormat.valueOf(reader.choice(LOG_FORMAT, listOf("text", "json")).uppercase()),
             )
