--- /dev/null
+++ b/egretlock-bench/src/main/kotlin/io/egretlock/bench/scenario/ProcessScenario.kt
@@ -0,0 +1,110 @@
+package io.egretlock.bench.scenario
+
+import io.egretlock.bench.load.Arrivals
+import io.egretlock.bench.load.JobMix
+import io.egretlock.bench.process.ProcessRun
+import io.egretlock.bench.process.ResourceUse
+import io.egretlock.bench.report.Bound
+import io.egretlock.bench.report.Figure
+import io.egretlock.bench.report.ScenarioResult
+import io.egretlock.testing.system.TestSystem
+import io.egretlock.testing.system.startSystem
+import io.egretlock.testing.upstream.UpstreamTraits
+
+/** The same workers and loads against the two binaries: three entries, eleven agents, upstreams in the bench. */
+internal class ProcessScenario : Scenario {
+    override val name = "processes"
+
+    override fun run(options: ScenarioOptions): ScenarioResult =
+        system().use { system ->
+            val idle = idleFigures(system)
+            run(system, "warm-up", options, JobMix.BOOKING, WARM_UP_LOAD)
+            val phases =
+                listOf(
+                    run(system, "haddad at 0.2", options, JobMix.BOOKING, LIGHT_LOAD),
+                    run(system, "haddad at 0.8", options, JobMix.BOOKING, LOAD),
+                    run(system, "reti-etnee at 0.8 with reviews", options, JobMix.CHECKS_AND_REVIEWS, LOAD),
+                    crest(system, options),
+                )
+            val figures = idle + phases.flatMap { it.figures() }
+            ScenarioResult(name, options.seed, 1, options.durationMillis, figures, bounds(phases, options))
+        }
+
+    private fun bounds(
+        phases: List<ProcessRun>,
+        options: ScenarioOptions,
+    ): List<Bound> {
+        val (_, booking, checks, crest) = phases
+        val capacity = Fleet.CAPACITY * (options.durationMillis - CREST_RISE_MILLIS)
+        val service = crest.answeredWork(CREST_RISE_MILLIS, options.durationMillis) / capacity
+        return listOf(
+            Bound.atMost("haddad at 0.8", "median stretch of a job", booking.medianStretch, limit = 1.1),
+            Bound.atMost("reti-etnee at 0.8", "median stretch of a job", checks.medianStretch, limit = 1.1),
+            Bound.atLeast("crest", "work answered in time, of capacity", service, limit = 0.95),
+        )
+    }
+
+    private fun run(
+        system: TestSystem,
+        load: String,
+        options: ScenarioOptions,
+        mix: JobMix,
+        level: Double,
+    ): ProcessRun {
+        val arrivals =
+            Arrivals(options.seed).steady(mix, Fleet.TEAM, Fleet.CAPACITY, options.durationMillis, level)
+        return ProcessRun(load, system, SERVICE, options.seed + load.hashCode()).run(arrivals)
+    }
+
+    private fun crest(
+        system: TestSystem,
+        options: ScenarioOptions,
+    ): ProcessRun {
+        val arrivals =
+            Arrivals(options.seed).draw(JobMix.BOOKING, Fleet.TEAM, Fleet.CAPACITY, options.durationMillis, CREST_LOAD) {
+                (LOAD + (CREST_LOAD - LOAD) * it / CREST_RISE_MILLIS).coerceAtMost(CREST_LOAD)
+            }
+        return ProcessRun("crest", system, SERVICE, options.seed - 1).run(arrivals)
+    }
+
+    private fun idleFigures(system: TestSystem): List<Figure> {
+        val processes = listOf("entry" to system.entries.map { it.process }, "agent" to system.agents.map { it.process })
+        val before = processes.map { (_, members) -> members.map { ResourceUse.of(it.pid) } }
+        Thread.sleep(IDLE_MILLIS)
+        return processes.flatMapIndexed { index, (role, members) ->
+            val now = members.map { ResourceUse.of(it.pid) }
+            val processor = now.sumOf { it.processorMillis } - before[index].sumOf { it.processorMillis }
+            val bytes = now.sumOf { it.readBytes + it.writtenBytes } - before[index].sumOf { it.readBytes + it.writtenBytes }
+            val perSecond = MILLIS / IDLE_MILLIS / members.size
+            listOf(
+                Figure("idle", role, "processor ms per second", processor * perSecond),
+                Figure("idle", role, "bytes read and written per second", bytes * perSecond),
+                Figure("idle", role, "resident MB", now.sumOf { it.residentBytes } / BYTES_PER_MEGABYTE / members.size),
+            )
+        }
+    }
+
+    private fun system(): TestSystem =
+        startSystem {
+            Fleet.WORKERS.groupBy { it.failureDomain }.forEach { (domain, workers) ->
+                failureDomain(domain.value) {
+                    entry("entry-${domain.value}")
+                    workers.forEach { agent(it.name, UpstreamTraits(SERVICE, it.slots, CONNECTIONS, it.speed)) }
+                }
+            }
+            team(Fleet.TEAM.value, SERVICE)
+        }
+
+    private companion object {
+        const val SERVICE = "bench"
+        const val CONNECTIONS = 64
+        const val WARM_UP_LOAD = 0.4
+        const val LIGHT_LOAD = 0.2
+        const val LOAD = 0.8
+        const val CREST_LOAD = 3.0
+        const val CREST_RISE_MILLIS = 2_000.0
+        const val IDLE_MILLIS = 10_000L
+        const val MILLIS = 1_000.0
+        const val BYTES_PER_MEGABYTE = 1e6
+    }
+}
