--- /dev/null
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/roster/RendezvousHash.kt
@@ -0,0 +1,33 @@
+package io.egretlock.core.roster
+
+import io.egretlock.core.job.JobId
+import io.egretlock.core.job.ProcessId
+
+/**
+ * Rendezvous (highest random weight) hashing: each member has a weight for each job, and the heaviest is its home. A
+ * member that leaves moves only its own jobs. Weights are FNV-1a (64 bits) with the finalizer of MurmurHash3.
+ */
+object RendezvousHash {
+    private const val FNV_OFFSET_BASIS = -0x340d631b7bdddcdbL
+    private const val FNV_PRIME = 0x100000001b3L
+    private const val FIRST_MULTIPLIER = -0xae502812aa7333L
+    private const val SECOND_MULTIPLIER = -0x3b314601e57a13adL
+    private const val FINALIZER_SHIFT = 33
+
+    /** The heaviest of [members] for [id]; null if there are none. */
+    fun home(
+        members: List<EntryMember>,
+        id: JobId,
+    ): EntryMember? = members.maxWithOrNull(compareBy({ weight(it.entry, id) }, { it.entry.toString() }))
+
+    private fun weight(
+        entry: ProcessId,
+        id: JobId,
+    ): Long = finalize("$entry/$id".fold(FNV_OFFSET_BASIS) { hash, char -> (hash xor char.code.toLong()) * FNV_PRIME })
+
+    private fun finalize(hash: Long): Long {
+        val first = (hash xor (hash ushr FINALIZER_SHIFT)) * FIRST_MULTIPLIER
+        val second = (first xor (first ushr FINALIZER_SHIFT)) * SECOND_MULTIPLIER
+        return second xor (second ushr FINALIZER_SHIFT)
+    }
+}
--- a/egretlock-core/src/main/kotlin/io/egretlock/core/roster/Roster.kt
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/roster/Roster.kt
@@ -4,16 +4,20 @@
 import kotlinx.serialization.Serializable
 
 /**
- * The entries that may claim jobs from a point in time on, as stored in the platform's store.
+ * The entries that may claim jobs from a point in time on. All times are milliseconds since the epoch.
  *
  * @property version counts up by one with each publication.
- * @property effectiveFromMillis milliseconds since the epoch; jobs created from then on belong to these members.
+ * @property effectiveFromMillis jobs created from then on belong to these members.
+ * @property holdMillis time for which entries that do not know this roster may still claim under an older one.
+ * @property storedByMillis earliest known time, by some entry's clock, at which this roster was in the store.
  */
 @Serializable
 data class Roster(
     val version: Long,
     val effectiveFromMillis: Long,
     val members: List<EntryMember>,
+    val holdMillis: Long = 0,
+    val storedByMillis: Long? = null,
 )
 
 /** One entry of a roster and the address at which agents and other entries dial it. */
--- /dev/null
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/roster/RosterView.kt
@@ -0,0 +1,82 @@
+package io.egretlock.core.roster
+
+import io.egretlock.core.job.JobId
+import io.egretlock.core.job.ProcessId
+
+/**
+ * What one entry knows of the rosters at one moment. Decides the home of any job.
+ *
+ * A job created before the horizon is claimed by its home only, whatever other entries know: no unknown roster can move
+ * it. A member that gained jobs by a roster waits until every entry without that roster is past its own horizon.
+ *
+ * @property horizonMillis jobs created before it, in milliseconds since the epoch, may be claimed.
+ * @property inherited entries whose claims this one has taken over completely.
+ */
+data class RosterView(
+    val self: EntryMember,
+    val timing: RosterTiming,
+    val history: RosterHistory? = null,
+    val horizonMillis: Long = Long.MIN_VALUE,
+    val inherited: Set<ProcessId> = emptySet(),
+) {
+    /** Whether this entry is a member of the newest roster. */
+    val isMember: Boolean
+        get() = history?.newest?.members?.any { it.entry == self.entry } == true
+
+    /** Home of the job [id] that was created at [createdAtMillis], at [nowMillis] by this entry's clock. */
+    fun homeOf(
+        id: JobId,
+        createdAtMillis: Long,
+        nowMillis: Long,
+    ): JobHome {
+        val known = history ?: return JobHome.Unknown
+        val index = known.indexAt(createdAtMillis)
+        return when {
+            createdAtMillis < nowMillis - timing.retentionMillis || index < 0 -> JobHome.TooOld
+            createdAtMillis > nowMillis + timing.clientAheadMillis -> JobHome.FromTheFuture
+            else -> homeUnder(known, index, id, createdAtMillis)
+        }
+    }
+
+    private fun homeUnder(
+        known: RosterHistory,
+        index: Int,
+        id: JobId,
+        createdAtMillis: Long,
+    ): JobHome {
+        val home = known.homeAt(index, id)
+        val holder = home?.let(known::holderOf)
+        return when {
+            home == null || holder == null -> JobHome.Lost(null, known.newest.effectiveFromMillis)
+            holder.entry == self.entry -> here(known, index, id, home, createdAtMillis)
+            known.newest.members.any { it.entry == holder.entry } -> JobHome.At(holder)
+            else -> JobHome.Lost(home.entry, known.newest.effectiveFromMillis)
+        }
+    }
+
+    private fun here(
+        known: RosterHistory,
+        index: Int,
+        id: JobId,
+        home: EntryMember,
+        createdAtMillis: Long,
+    ): JobHome {
+        val owned = home.entry == self.entry || home.entry in inherited
+        val confirmed = createdAtMillis < horizonMillis
+        val past = (1..index).all { gainIsPast(known, it, id, home, createdAtMillis) }
+        return if (owned && confirmed && past) JobHome.Here else JobHome.HereUnconfirmed
+    }
+
+    private fun gainIsPast(
+        known: RosterHistory,
+        index: Int,
+        id: JobId,
+        home: EntryMember,
+        createdAtMillis: Long,
+    ): Boolean {
+        if (known.homeAt(index - 1, id)?.entry == home.entry) return true
+        val roster = known.rosters[index]
+        val storedByMillis = roster.storedByMillis ?: return false
+        return createdAtMillis >= storedByMillis + roster.holdMillis + timing.clockDifferenceMillis
+    }
+}
--- /dev/null
+++ b/egretlock-core/src/test/kotlin/io/egretlock/core/roster/SimulatedEntry.kt
@@ -0,0 +1,30 @@
+package io.egretlock.core.roster
+
+import io.egretlock.core.job.JobId
+import io.egretlock.core.job.ProcessId
+
+/** One entry of a [RosterSimulation]: its keeper, its clock, and the ids that it settled or inherited. */
+internal class SimulatedEntry(
+    val member: EntryMember,
+    private val clockAheadMillis: Long,
+    timing: RosterTiming,
+) {
+    val keeper = RosterKeeper(member, timing)
+    val settled = mutableSetOf<JobId>()
+    val inherited = mutableSetOf<ProcessId>()
+    var isAlive = true
+    var isLeaving = false
+    var pausedUntilMillis = 0L
+
+    fun clock(nowMillis: Long): Long = nowMillis + clockAheadMillis
+
+    /** Settles [id] if this entry may; returns whether it did so anew. */
+    fun settle(
+        id: JobId,
+        createdAtMillis: Long,
+        nowMillis: Long,
+    ): Boolean {
+        val home = keeper.view.homeOf(id, createdAtMillis, clock(nowMillis))
+        return home == JobHome.Here && !isLeaving && settled.add(id)
+    }
+}
