Take ports for test processes from below the ephemeral range

Cause: SettingsRoutesTest read the dump of another process: a port found free by binding port 0 lies in the range of outgoing connections and was taken again, by another suite on the same machine, before the process bound it. Ruled out: a fault of the entry (its dump always has the home). Change: ports from 20000 to 31999, each handed out once.

--- a/egretlock-bench/src/main/kotlin/io/egretlock/bench/process/ProcessRun.kt
+++ b/egretlock-bench/src/main/kotlin/io/egretlock/bench/process/ProcessRun.kt
@@ -96,7 +96,11 @@
             agent.upstream.starts.forEach { start -> speedByTask[start.task] = speeds.getValue(agent.name) }
         }
         for (job in sent.filter { it.reply is JobReply.Complete }) {
-            val runs = job.work.tasks.mapIndexed { index, task -> task.runMillis / speedByTask.getValue("${job.id}:$index") }
+            val runs =
+                job.work.tasks.mapIndexed { index, task ->
+                    task.runMillis /
+                        speedByTask.getValue("${job.id}:$index")
+                }
             stretch.add(job.responseMillis / runs.max())
         }
     }
--- a/egretlock-bench/src/main/kotlin/io/egretlock/bench/scenario/ProcessScenario.kt
+++ b/egretlock-bench/src/main/kotlin/io/egretlock/bench/scenario/ProcessScenario.kt
@@ -34,7 +34,7 @@
         phases: List<ProcessRun>,
         options: ScenarioOptions,
     ): List<Bound> {
-        val (_, booking, checks, crest) = phases
+        val (booking, checks, crest) = phases.drop(1)
         val capacity = Fleet.CAPACITY * (options.durationMillis - CREST_RISE_MILLIS)
         val service = crest.answeredWork(CREST_RISE_MILLIS, options.durationMillis) / capacity
         return listOf(
@@ -61,20 +61,24 @@
         options: ScenarioOptions,
     ): ProcessRun {
         val arrivals =
-            Arrivals(options.seed).draw(JobMix.BOOKING, Fleet.TEAM, Fleet.CAPACITY, options.durationMillis, CREST_LOAD) {
+            Arrivals(
+                options.seed,
+            ).draw(JobMix.BOOKING, Fleet.TEAM, Fleet.CAPACITY, options.durationMillis, CREST_LOAD) {
                 (LOAD + (CREST_LOAD - LOAD) * it / CREST_RISE_MILLIS).coerceAtMost(CREST_LOAD)
             }
         return ProcessRun("crest", system, SERVICE, options.seed - 1).run(arrivals)
     }
 
     private fun idleFigures(system: TestSystem): List<Figure> {
-        val processes = listOf("entry" to system.entries.map { it.process }, "agent" to system.agents.map { it.process })
+        val processes =
+            listOf("entry" to system.entries.map { it.process }, "agent" to system.agents.map { it.process })
         val before = processes.map { (_, members) -> members.map { ResourceUse.of(it.pid) } }
         Thread.sleep(IDLE_MILLIS)
         return processes.flatMapIndexed { index, (role, members) ->
             val now = members.map { ResourceUse.of(it.pid) }
             val processor = now.sumOf { it.processorMillis } - before[index].sumOf { it.processorMillis }
-            val bytes = now.sumOf { it.readBytes + it.writtenBytes } - before[index].sumOf { it.readBytes + it.writtenBytes }
+            val bytes =
+                now.sumOf { it.readBytes + it.writtenBytes } - before[index].sumOf { it.readBytes + it.writtenBytes }
             val perSecond = MILLIS / IDLE_MILLIS / members.size
             listOf(
                 Figure("idle", role, "processor ms per second", processor * perSecond),
--- a/egretlock-testing/src/main/kotlin/io/egretlock/testing/system/EntryNode.kt
+++ b/egretlock-testing/src/main/kotlin/io/egretlock/testing/system/EntryNode.kt
@@ -65,4 +65,4 @@
     }
 }
 
-internal fun freeAddress() = NodeAddress("127.0.0.1", ProcessLauncher.freePort())
+internal fun freeAddress() = NodeAddress("127.0.0.1", FreePorts.next())
--- /dev/null
+++ b/egretlock-testing/src/main/kotlin/io/egretlock/testing/system/FreePorts.kt
@@ -0,0 +1,31 @@
+package io.egretlock.testing.system
+
+import java.io.IOException
+import java.net.InetAddress
+import java.net.ServerSocket
+import java.util.concurrent.ConcurrentHashMap
+import kotlin.random.Random
+
+/**
+ * TCP ports on loopback for processes that a test starts.
+ *
+ * They lie below the range from which the system takes ports of outgoing connections, since a port of that range can be
+ * taken again between the moment it is found free and the moment the process binds it.
+ */
+object FreePorts {
+    private val PORTS = 20_000..31_999
+    private val handedOut = ConcurrentHashMap.newKeySet<Int>()
+
+    /** A port that is free now and that this process has not handed out before. */
+    fun next(): Int = generateSequence { Random.nextInt(PORTS.first, PORTS.last + 1) }.first(::claim)
+
+    private fun claim(port: Int): Boolean = handedOut.add(port) && isFree(port)
+
+    private fun isFree(port: Int): Boolean =
+        try {
+            ServerSocket(port, 1, InetAddress.getLoopbackAddress()).close()
+            true
+        } catch (_: IOException) {
+            false
+        }
+}
--- a/egretlock-testing/src/main/kotlin/io/egretlock/testing/system/ProcessLauncher.kt
+++ b/egretlock-testing/src/main/kotlin/io/egretlock/testing/system/ProcessLauncher.kt
@@ -1,7 +1,5 @@
 package io.egretlock.testing.system
 
-import java.net.InetAddress
-import java.net.ServerSocket
 import java.nio.file.Path
 import java.util.concurrent.CopyOnWriteArrayList
 import java.util.concurrent.atomic.AtomicInteger
@@ -64,8 +62,5 @@
 
         /** Root directory of the project: the system property `egretlock.root`, else the working directory. */
         fun projectRoot(): Path = Path(System.getProperty("egretlock.root") ?: "").toAbsolutePath()
-
-        /** A TCP port on loopback that was free a moment ago. */
-        fun freePort(): Int = ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { it.localPort }
     }
 }
--- a/egretlock-testing/src/main/kotlin/io/egretlock/testing/system/UpstreamNode.kt
+++ b/egretlock-testing/src/main/kotlin/io/egretlock/testing/system/UpstreamNode.kt
@@ -64,7 +64,7 @@
     private val announceAddress: String,
 ) : UpstreamNode {
     private val processes = mutableListOf<ManagedProcess>()
-    private val port = ProcessLauncher.freePort()
+    private val port = FreePorts.next()
 
     /** The latest process. */
     val process: ManagedProcess
--- a/egretlock-testing/src/test/kotlin/io/egretlock/testing/settings/SettingsEditsTest.kt
+++ b/egretlock-testing/src/test/kotlin/io/egretlock/testing/settings/SettingsEditsTest.kt
@@ -38,7 +38,7 @@
     fun stop() = system.close()
 
     @Test
-    fun `given racing operators, restarts and outages, when settings are edited, then all take effect and none reverts`() {
+    fun `given racing operators, restarts and outages, when settings are edited, then all apply and none reverts`() {
         val recorder = RevisionRecorder(client, observed(), ::nowMillis)
         val operators = RacingOperators(client, system.entries.map { it.operatorsAddress }, ::body, seed, ::nowMillis)
         fail(StoreFaults(availability = StoreAvailability.REFUSING))
