Check calls on the store's return and a pause across an edit

Cause: the call rate after an outage was checked for watchers alone, not for entries. Change: SettingsOutageTest counts all calls of two entries in 10 s before an outage and after it (hanging store), and pauses an entry across an edit.

--- a/egretlock-testing/src/test/kotlin/io/egretlock/testing/settings/SettingsOutageTest.kt
+++ b/egretlock-testing/src/test/kotlin/io/egretlock/testing/settings/SettingsOutageTest.kt
@@ -20,7 +20,7 @@
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.EnumSource
 
-/** Settings and dispatch in real processes while the store is down, slow or behind. */
+/** Settings, dispatch and calls in real processes while the store is down, slow or behind, and after its return. */
 class SettingsOutageTest {
     private val client = SettingsClient(TEAM)
     private val first = system.entries.first()
@@ -84,6 +84,32 @@
         awaitInForce(checkNotNull(reply.revision))
     }
 
+    @Test
+    fun `given an outage, when the store returns, then calls are at most double the steady rate`() {
+        val steady = callsWithinWindow()
+        system.store.faults = StoreFaults(availability = StoreAvailability.HANGING)
+        Thread.sleep(OUTAGE_MILLIS)
+        system.store.faults = StoreFaults()
+        val afterReturn = callsWithinWindow()
+        assertTrue(afterReturn <= 2 * steady) { "$afterReturn calls after the return, $steady in the steady state" }
+    }
+
+    @Test
+    fun `given a paused entry, when settings change meanwhile, then it takes them once it runs again`() {
+        val paused = system.entries.last()
+        paused.process.signal(ProcessSignal.STOP)
+        val revision = checkNotNull(edit(concurrency = 70).revision)
+        Thread.sleep(PAUSE_MILLIS)
+        paused.process.signal(ProcessSignal.CONT)
+        awaitInForce(revision)
+    }
+
+    private fun callsWithinWindow(): Long {
+        val before = system.store.calls.total
+        Thread.sleep(WINDOW_MILLIS)
+        return system.store.calls.total - before
+    }
+
     private fun edit(concurrency: Int): SettingsReply {
         val body = """{"team":"$TEAM","services":[{"name":"$SERVICE","concurrency":$concurrency}]}"""
         return client.put(first.operatorsAddress, client.get(first.operatorsAddress).entityTag, body)
@@ -98,6 +124,9 @@
         const val IN_FORCE_MILLIS = 6_000L
         const val SLOW_MILLIS = 500L
         const val JOBS = 10
+        const val PAUSE_MILLIS = 3_000L
+        const val OUTAGE_MILLIS = 4_000L
+        const val WINDOW_MILLIS = 10_000L
         lateinit var system: TestSystem
 
         @JvmStatic
