Prove that calls leave silent upstream connections behind

Cause: the safeguard (idle connections are dropped when a call ends without an answer) had no test. Ruled out: a test with one or two connections: the stop request takes the other one, and it passed without the safeguard. Change: a test with three pooled connections, all silenced; AgentFixture is the fixture's new name.

--- a/egretlock-agent/src/test/kotlin/io/egretlock/agent/AgentStandUp.kt
+++ b/egretlock-agent/src/test/kotlin/io/egretlock/agent/AgentFixture.kt
@@ -24,7 +24,7 @@
 import java.net.http.HttpResponse
 
 /** An agent in the test's own process, with the HTTP calls that an upstream and an operator make. */
-internal class AgentStandUp(
+internal class AgentFixture(
     entries: List<NodeAddress>,
     timing: LinkTiming = LinkTiming(heartbeatMillis = 100, silenceMillis = 1_000),
     drainMillis: Long = 10_000,
--- a/egretlock-agent/src/test/kotlin/io/egretlock/agent/AgentProcessTest.kt
+++ b/egretlock-agent/src/test/kotlin/io/egretlock/agent/AgentProcessTest.kt
@@ -1,6 +1,6 @@
 package io.egretlock.agent
 
-import io.egretlock.agent.AgentStandUp.Companion.start
+import io.egretlock.agent.AgentFixture.Companion.start
 import io.egretlock.core.job.ProcessId
 import io.egretlock.core.job.TaskOutcome
 import io.egretlock.core.job.TeamName
@@ -34,7 +34,7 @@
         runBlocking {
             val upstream = UpstreamStandIn { UpstreamStandIn.answer(it, """{"torn":false}""") }
             val entry = EntryStandIn()
-            val agent = AgentStandUp(listOf(entry.address))
+            val agent = AgentFixture(listOf(entry.address))
             val session = entry.session()
             assertEquals(204, agent.announce(upstream.announcement()))
             assertEquals(UpstreamUpdate(upstream.announcement()), session.receive<UpstreamUpdate>())
@@ -57,7 +57,7 @@
     fun `given no credit, when an entry starts a task, then it is refused and the upstream sees nothing`() =
         runBlocking {
             val entry = EntryStandIn()
-            val agent = AgentStandUp(listOf(entry.address))
+            val agent = AgentFixture(listOf(entry.address))
             val session = entry.session()
             session.send(start(0))
             assertEquals(StartRefused(start(0).attempt), session.receive<StartRefused>())
@@ -70,7 +70,7 @@
             val release = CompletableFuture<Unit>()
             val upstream = UpstreamStandIn(UpstreamStandIn.held(release, "7"))
             val entry = EntryStandIn()
-            val agent = AgentStandUp(listOf(entry.address))
+            val agent = AgentFixture(listOf(entry.address))
             val session = entry.session()
             agent.announce(upstream.announcement())
             session.receive<CreditGrant>()
@@ -85,13 +85,37 @@
             assertEquals(listOf("POST /tasks/job:0", "DELETE /tasks/job:0"), upstream.requests.toList())
         }
 
+    @Test
+    fun `given upstream connections gone silent, when one call has timed out, then the next uses a fresh connection`() =
+        runBlocking {
+            val release = CompletableFuture<Unit>()
+            val upstream = UpstreamStandIn(UpstreamStandIn.held(release, "7"))
+            val proxy = SilencingProxy(upstream.address)
+            val entry = EntryStandIn()
+            val agent = AgentFixture(listOf(entry.address))
+            val session = entry.session()
+            agent.announce(upstream.announcement(slots = 3).copy(address = "http://${proxy.address}"))
+            session.receive<CreditGrant>()
+            repeat(3) { session.send(start(it)) }
+            upstream.awaitRequest(3)
+            release.complete(Unit)
+            repeat(3) { assertEquals(TaskOutcome.Succeeded("7"), session.outcome()) }
+            proxy.silence()
+            session.send(start(3, remainingMillis = 300))
+            assertEquals(TaskOutcome.Ended(HttpUpstreamClient.NO_ANSWER_IN_TIME), session.outcome())
+            session.send(start(4))
+            assertEquals(TaskOutcome.Succeeded("7"), session.outcome())
+            listOf(agent, proxy, entry, upstream).forEach { it.close() }
+            assertEquals(0, upstream.requests.count { it == "POST /tasks/job:3" })
+        }
+
     @Test
     fun `given a running task, when the upstream leaves, then the task ends and no other starts`() =
         runBlocking {
             val release = CompletableFuture<Unit>()
             val upstream = UpstreamStandIn(UpstreamStandIn.held(release, "7"))
             val entry = EntryStandIn()
-            val agent = AgentStandUp(listOf(entry.address))
+            val agent = AgentFixture(listOf(entry.address))
             val session = entry.session()
             agent.announce(upstream.announcement())
             session.receive<CreditGrant>()
@@ -118,7 +142,7 @@
             val release = CompletableFuture<Unit>()
             val upstream = UpstreamStandIn(UpstreamStandIn.held(release, "7"))
             val entry = EntryStandIn()
-            val agent = AgentStandUp(listOf(entry.address))
+            val agent = AgentFixture(listOf(entry.address))
             val session = entry.session()
             agent.announce(upstream.announcement())
             session.receive<CreditGrant>()
@@ -145,7 +169,7 @@
             val release = CompletableFuture<Unit>()
             val upstream = UpstreamStandIn(UpstreamStandIn.held(release, "7"))
             val entry = EntryStandIn()
-            val agent = AgentStandUp(listOf(entry.address), drainMillis = 100)
+            val agent = AgentFixture(listOf(entry.address), drainMillis = 100)
             val session = entry.session()
             agent.announce(upstream.announcement())
             session.receive<CreditGrant>()
@@ -164,7 +188,7 @@
     fun `given entries with different revisions, when an agent meets both, then both get the higher one`() =
         runBlocking {
             val newer = EntryStandIn(settings = listOf(stored(revision = 9)))
-            val agent = AgentStandUp(listOf(newer.address))
+            val agent = AgentFixture(listOf(newer.address))
             val session = newer.session()
             assertEquals(SettingsApplied(listOf(SettingsRevision(TEAM, 9))), session.receive<SettingsApplied>())
             val older = EntryStandIn(id = ProcessId("entry-2", 1), settings = listOf(stored(revision = 4)))
@@ -182,7 +206,7 @@
 
     @Test
     fun `given a malformed announcement, when it arrives, then every fault is named`() {
-        val agent = AgentStandUp(listOf(NodeAddress("127.0.0.1", 1)))
+        val agent = AgentFixture(listOf(NodeAddress("127.0.0.1", 1)))
         val body = """{"service":" ","slots":0,"connections":0,"address":"ftp://x"}"""
         val answer = agent.announce(body)
         val expected =
@@ -202,13 +226,19 @@
 
     @Test
     fun `given a running agent, when operators look, then it is live and ready and shows its metrics`() {
-        val agent = AgentStandUp(listOf(NodeAddress("127.0.0.1", 1)))
+        val agent = AgentFixture(listOf(NodeAddress("127.0.0.1", 1)))
         assertEquals("live", agent.get("/live").body())
         assertEquals(200, agent.get("/ready").statusCode())
         assertTrue(agent.get("/metrics").body().contains("egretlock_agent_starts_total 0.0"))
         agent.close()
     }
 
+    private suspend fun EntryStandIn.Session.outcome(): TaskOutcome {
+        val finished = receive<Finished>()
+        send(Acknowledge(listOf(finished.task)))
+        return finished.outcome
+    }
+
     private fun stored(revision: Long) = StoredTeamSettings(revision, TeamSettings(TEAM))
 
     private companion object {
--- a/egretlock-agent/src/test/kotlin/io/egretlock/agent/EntryDialerTest.kt
+++ b/egretlock-agent/src/test/kotlin/io/egretlock/agent/EntryDialerTest.kt
@@ -1,6 +1,6 @@
 package io.egretlock.agent
 
-import io.egretlock.agent.AgentStandUp.Companion.start
+import io.egretlock.agent.AgentFixture.Companion.start
 import io.egretlock.core.job.TaskOutcome
 import io.egretlock.protocol.Acknowledge
 import io.egretlock.protocol.AttemptState
@@ -30,7 +30,7 @@
         val upstream = UpstreamStandIn(UpstreamStandIn.held(release, "7"))
         val entry = EntryStandIn(timing = PATIENT)
         val proxy = SilencingProxy(entry.address)
-        val agent = AgentStandUp(listOf(proxy.address))
+        val agent = AgentFixture(listOf(proxy.address))
         val first = entry.session()
         agent.announce(upstream.announcement())
         first.receive<CreditGrant>()
@@ -58,7 +58,7 @@
         runBlocking {
             val upstream = UpstreamStandIn { UpstreamStandIn.answer(it, "7") }
             val entry = EntryStandIn(timing = PATIENT)
-            val agent = AgentStandUp(listOf(entry.address))
+            val agent = AgentFixture(listOf(entry.address))
             agent.announce(upstream.announcement())
             val first = entry.session()
             first.receive<CreditGrant>()
@@ -77,7 +77,7 @@
         runBlocking {
             val upstream = UpstreamStandIn { UpstreamStandIn.answer(it, "7") }
             val entry = EntryStandIn()
-            val agent = AgentStandUp(listOf(entry.address))
+            val agent = AgentFixture(listOf(entry.address))
             agent.announce(upstream.announcement())
             val first = entry.session()
             first.receive<CreditGrant>()
@@ -95,7 +95,7 @@
             val release = CompletableFuture<Unit>()
             val upstream = UpstreamStandIn(UpstreamStandIn.held(release, "7"))
             val entry = EntryStandIn()
-            val agent = AgentStandUp(listOf(entry.address))
+            val agent = AgentFixture(listOf(entry.address))
             agent.announce(upstream.announcement())
             val first = entry.session()
             first.receive<CreditGrant>()
@@ -114,7 +114,7 @@
         runBlocking {
             val entry = EntryStandIn()
             val proxy = SilencingProxy(entry.address)
-            val agent = AgentStandUp(listOf(entry.address, proxy.address))
+            val agent = AgentFixture(listOf(entry.address, proxy.address))
             val links = List(2) { entry.session().link }
             withTimeout(EntryStandIn.DEADLINE_MILLIS) {
                 while (links.none { !it.send(Heartbeat(0)) }) delay(POLL_MILLIS)
--- a/egretlock-agent/src/test/kotlin/io/egretlock/agent/HttpUpstreamClientTest.kt
+++ b/egretlock-agent/src/test/kotlin/io/egretlock/agent/HttpUpstreamClientTest.kt
@@ -1,7 +1,7 @@
 package io.egretlock.agent
 
 import com.sun.net.httpserver.HttpExchange
-import io.egretlock.agent.AgentStandUp.Companion.start
+import io.egretlock.agent.AgentFixture.Companion.start
 import io.egretlock.agent.UpstreamStandIn.Companion.answer
 import io.egretlock.core.job.Reason
 import io.egretlock.core.job.ServiceName
--- a/egretlock-agent/src/test/kotlin/io/egretlock/agent/UpstreamStandIn.kt
+++ b/egretlock-agent/src/test/kotlin/io/egretlock/agent/UpstreamStandIn.kt
@@ -4,6 +4,7 @@
 import com.sun.net.httpserver.HttpServer
 import io.egretlock.core.job.ServiceName
 import io.egretlock.core.placement.UpstreamAnnouncement
+import io.egretlock.core.roster.NodeAddress
 import java.net.InetSocketAddress
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.CopyOnWriteArrayList
@@ -29,8 +30,11 @@
         server.start()
     }
 
+    /** Where the agent calls it. */
+    val address = NodeAddress("127.0.0.1", server.address.port)
+
     fun announcement(slots: Int = 2): UpstreamAnnouncement =
-        UpstreamAnnouncement(ServiceName("net-check"), slots, 64, "http://127.0.0.1:${server.address.port}")
+        UpstreamAnnouncement(ServiceName("net-check"), slots, 64, "http://$address")
 
     /** Waits until [count] requests have arrived. */
     fun awaitRequest(count: Int = 1) {
