--- a/egretlock-agent/src/main/kotlin/io/egretlock/agent/AgentSettings.kt
+++ b/egretlock-agent/src/main/kotlin/io/egretlock/agent/AgentSettings.kt
@@ -36,7 +36,8 @@
         private val OPERATORS_ADDRESS =
             Setting("operators-address", "Where /live, /ready, /metrics and /dump are served.", "127.0.0.1:8091")
         private val ENTRIES = Setting("entries", "Link addresses of entries, separated by commas.")
-        private val OPERATOR_TOKEN = Setting("operator-token", "Bearer token for /metrics and /dump.")
+        private val OPERATOR_TOKEN =
+            Setting("operator-token", "Bearer token for /metrics and /dump; needed if not on loopback.", secret = true)
         private val HEARTBEAT = Setting("heartbeat-millis", "Interval between heartbeats.", "500")
         private val SILENCE = Setting("silence-millis", "Silence after which a connection is given up.", "2000")
         private val DRAIN = Setting("drain-millis", "Longest time for a graceful shutdown.", "30000")
@@ -68,7 +69,7 @@
                 announceAddress = reader.address(ANNOUNCE_ADDRESS),
                 operatorsAddress = reader.address(OPERATORS_ADDRESS),
                 entries = reader.addresses(ENTRIES),
-                operatorToken = reader.optional(OPERATOR_TOKEN),
+                operatorToken = readOperatorToken(reader),
                 timing = readTiming(reader),
                 drainMillis = reader.number(DRAIN, 0..LONGEST_DRAIN_MILLIS),
                 logFormat = LogFormat.valueOf(reader.choice(LOG_FORMAT, listOf("text", "json")).uppercase()),
@@ -77,8 +78,9 @@
         /** Reads where a running agent serves its operators. */
         fun readOperatorsAddress(reader: SettingReader): NodeAddress = reader.address(OPERATORS_ADDRESS)
 
-        /** Reads the operators' token; null if none is set. */
-        fun readOperatorToken(reader: SettingReader): String? = reader.optional(OPERATOR_TOKEN)
+        /** Reads the operators' token; null if none is set, which is a fault unless their address is local. */
+        fun readOperatorToken(reader: SettingReader): String? =
+            reader.inspectionToken(OPERATOR_TOKEN, OPERATORS_ADDRESS)
 
         private fun readTiming(reader: SettingReader): LinkTiming {
             val heartbeatMillis = reader.number(HEARTBEAT, 1..LONGEST_INTERVAL_MILLIS)
--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/EntrySettings.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/EntrySettings.kt
@@ -115,24 +115,12 @@
         fun operatorsAddress(reader: SettingReader): NodeAddress = reader.address(OPERATORS)
 
         /** Bearer token of the inspection routes; needed where their address is not local. */
-        fun operatorToken(reader: SettingReader): String? {
-            val local = reader.address(OPERATORS).host.startsWith("127.")
-            if (local) return reader.optional(TOKEN)
-            return reader.read(
-                TOKEN,
-                "a token of at least 16 characters, as operators' address is not local",
-                "",
-            ) { text ->
-                text.takeIf { it.length >= SHORTEST_TOKEN }
-            }
-        }
+        fun operatorToken(reader: SettingReader): String? = reader.inspectionToken(TOKEN, OPERATORS)
 
         private fun teamTokens(reader: SettingReader): TeamTokens {
             val none = TeamTokens(emptyMap())
             if (reader.optional(TEAM_TOKENS) == null) return none
             return reader.read(TEAM_TOKENS, TeamTokens.ALLOWED, none, TeamTokens::parse)
         }
-
-        private const val SHORTEST_TOKEN = 16
     }
 }
--- a/egretlock-process/src/main/kotlin/io/egretlock/process/SettingReader.kt
+++ b/egretlock-process/src/main/kotlin/io/egretlock/process/SettingReader.kt
@@ -50,6 +50,18 @@
         choices: List<String>,
     ): String = read(setting, choices.joinToString(" or "), choices.first()) { text -> text.takeIf { it in choices } }
 
+    /** A bearer token; may be absent only if [address] is a loopback address. */
+    fun inspectionToken(
+        token: Setting,
+        address: Setting,
+    ): String? {
+        val local = optional(address).orEmpty().startsWith(LOOPBACK_PREFIX)
+        if (local && optional(token) == null) return null
+        return read(token, "a token of at least $SHORTEST_TOKEN characters, as --${address.flag} is not local", "") {
+            it.takeIf { text -> local || text.length >= SHORTEST_TOKEN }
+        }
+    }
+
     /** Any value that [parse] understands; [allowed] says which, and [fallback] stands in for a faulty one. */
     fun <T : Any> read(
         setting: Setting,
@@ -64,6 +76,8 @@
     }
 
     private companion object {
+        const val LOOPBACK_PREFIX = "127."
+        const val SHORTEST_TOKEN = 16
         val NAME = Regex("[A-Za-z0-9._-]{1,64}")
     }
 }
--- a/egretlock-process/src/test/kotlin/io/egretlock/process/SettingReaderTest.kt
+++ b/egretlock-process/src/test/kotlin/io/egretlock/process/SettingReaderTest.kt
@@ -1,6 +1,7 @@
 package io.egretlock.process
 
 import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertNull
 import org.junit.jupiter.api.Test
 
 class SettingReaderTest {
@@ -30,6 +31,19 @@
         )
     }
 
+    @Test
+    fun `given an address that is not local, when its token is missing or short, then that is a fault`() {
+        val address = Setting("operators-address", "Where operators look.", "127.0.0.1:8081")
+        val token = Setting("operator-token", "Bearer token.", secret = true)
+        assertNull(SettingReader(emptyMap(), emptyMap()).inspectionToken(token, address))
+        val reader = SettingReader(mapOf("operators-address" to "10.0.0.1:8081"), emptyMap())
+        reader.inspectionToken(token, address)
+        val expected =
+            "--operator-token (EGRETLOCK_OPERATOR_TOKEN): missing is not allowed; " +
+                "allowed: a token of at least 16 characters, as --operators-address is not local."
+        assertEquals(listOf(expected), reader.faults.map { it.toString() })
+    }
+
     @Test
     fun `given several faults, when read, then all are collected`() {
         val reader = SettingReader(mapOf("drain-millis" to "x"), emptyMap())
