--- a/egretlock-agent/src/main/kotlin/io/egretlock/agent/AgentProcess.kt
+++ b/egretlock-agent/src/main/kotlin/io/egretlock/agent/AgentProcess.kt
@@ -4,7 +4,9 @@
 import io.egretlock.core.roster.NodeAddress
 import io.egretlock.process.Inspectable
 import io.egretlock.process.OperatorsRoutes
+import io.egretlock.process.ServedProcess
 import io.egretlock.process.event
+import io.egretlock.process.launchEssential
 import io.github.oshai.kotlinlogging.KotlinLogging
 import io.javalin.Javalin
 import io.javalin.config.JavalinConfig
@@ -29,7 +31,8 @@
 /** A running agent: its state, its connections to entries and its two HTTP servers. */
 internal class AgentProcess(
     private val settings: AgentSettings,
-) : Inspectable {
+) : Inspectable,
+    ServedProcess {
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
     private val selector = SelectorManager(Dispatchers.IO)
     private val client = HttpUpstreamClient()
@@ -42,16 +45,15 @@
     override val ready: Boolean
         get() = agent.ready
 
-    /** Starts serving; throws if an address is in use. */
-    fun start() {
-        scope.launch { agent.run() }
+    override suspend fun start() {
+        scope.launchEssential(logger, AgentEvent.TASK_FAILED) { agent.run() }
         scope.launch { tick() }
         servers.forEach { it.start() }
         logger.event(AgentEvent.STARTED, "agent" to id, "failureDomain" to settings.failureDomain)
     }
 
-    /** Stops gracefully: no new tasks, then waits for running ones and for acknowledgements, up to the drain time. */
-    suspend fun stop() {
+    /** Takes no new tasks, then waits for running ones and for acknowledgements, up to the drain time. */
+    override suspend fun stop() {
         val done = CompletableDeferred<Unit>()
         agent.commands.send(DrainRequested(done))
         val complete = withTimeoutOrNull(settings.drainMillis) { done.await() }
--- a/egretlock-agent/src/main/kotlin/io/egretlock/agent/Main.kt
+++ b/egretlock-agent/src/main/kotlin/io/egretlock/agent/Main.kt
@@ -1,11 +1,9 @@
 package io.egretlock.agent
 
 import io.egretlock.process.CommandLine
-import io.egretlock.process.EXIT_FAILURE
 import io.egretlock.process.EXIT_USAGE
 import io.egretlock.process.LogSetup
-import io.javalin.util.JavalinBindException
-import kotlinx.coroutines.runBlocking
+import io.egretlock.process.serve
 
 private const val VERSION = "0.1.0"
 private const val USAGE =
@@ -37,19 +35,7 @@
 
 private fun run(settings: AgentSettings) {
     LogSetup.apply(settings.logFormat)
-    val process = AgentProcess(settings)
-    try {
-        process.start()
-    } catch (inUse: JavalinBindException) {
-        commandLine.fail(EXIT_FAILURE, listOf("An address can't be bound: ${inUse.message}"))
-    }
-    Runtime.getRuntime().addShutdownHook(
-        Thread {
-            runBlocking { process.stop() }
-            Runtime.getRuntime().halt(0)
-        },
-    )
-    Thread.currentThread().join()
+    commandLine.serve(AgentProcess(settings))
 }
 
 private fun check(flags: List<String>) {
--- a/egretlock-agent/src/test/kotlin/io/egretlock/agent/AgentFixture.kt
+++ b/egretlock-agent/src/test/kotlin/io/egretlock/agent/AgentFixture.kt
@@ -46,7 +46,7 @@
 
     init {
         LogSetup.apply(LogFormat.TEXT, Level.ERROR)
-        process = AgentProcess(settings).apply { start() }
+        process = AgentProcess(settings).apply { runBlocking { start() } }
     }
 
     fun announce(announcement: UpstreamAnnouncement): Int = announce(Json.encodeToString(announcement)).statusCode()
--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/EntryProcess.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/EntryProcess.kt
@@ -16,7 +16,9 @@
 import io.egretlock.platform.settings.SettingsWatcher
 import io.egretlock.process.Inspectable
 import io.egretlock.process.OperatorsRoutes
+import io.egretlock.process.ServedProcess
 import io.egretlock.process.event
+import io.egretlock.process.launchEssential
 import io.egretlock.protocol.EntryHello
 import io.egretlock.protocol.LinkListener
 import io.egretlock.protocol.SettingsUpdate
@@ -43,7 +45,8 @@
 internal class EntryProcess(
     private val settings: EntrySettings,
     platformStore: KeyValueStore,
-) : Inspectable {
+) : Inspectable,
+    ServedProcess {
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
     private val selector = SelectorManager(Dispatchers.IO)
     private val self = EntryMember(ProcessId(settings.name, System.currentTimeMillis()), settings.advertisedLinkAddress)
@@ -72,10 +75,9 @@
     override val ready: Boolean
         get() = !drain.isDraining && storeReader.rosters().isNotEmpty()
 
-    /** Binds all addresses and starts all parts. Throws if an address is taken. */
-    suspend fun start() {
+    override suspend fun start() {
         metrics.observeLiveJobs { jobs.liveJobs }
-        scope.launch { home.run() }
+        scope.launchEssential(logger, EntryEvent.TASK_FAILED) { home.run() }
         scope.launch { storeReader.run() }
         scope.launch { settingsKeeper.run(settingsWatcher.updates()) }
         scope.launch { tick() }
@@ -86,7 +88,7 @@
     }
 
     /** Claims no new jobs, answers those in flight, then stops. */
-    suspend fun stop() {
+    override suspend fun stop() {
         drain.begin()
         home.send(HomeInput.StopClaiming)
         logger.event(EntryEvent.DRAINING, "requests" to drain.requestsInFlight)
--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/Main.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/Main.kt
@@ -5,7 +5,7 @@
 import io.egretlock.process.CommandLine
 import io.egretlock.process.EXIT_USAGE
 import io.egretlock.process.LogSetup
-import kotlinx.coroutines.runBlocking
+import io.egretlock.process.serve
 
 private const val VERSION = "0.1.0"
 private const val USAGE =
@@ -41,15 +41,7 @@
 
 private fun run(settings: EntrySettings) {
     LogSetup.apply(settings.logFormat)
-    val process = EntryProcess(settings, EtcdStore(EtcdStoreSettings(settings.storeAddresses)))
-    runBlocking { process.start() }
-    Runtime.getRuntime().addShutdownHook(
-        Thread {
-            runBlocking { process.stop() }
-            Runtime.getRuntime().halt(0)
-        },
-    )
-    Thread.currentThread().join()
+    commandLine.serve(EntryProcess(settings, EtcdStore(EtcdStoreSettings(settings.storeAddresses))))
 }
 
 private fun check(flags: List<String>) {
--- /dev/null
+++ b/egretlock-process/src/main/kotlin/io/egretlock/process/ServedProcess.kt
@@ -0,0 +1,59 @@
+package io.egretlock.process
+
+import io.github.oshai.kotlinlogging.KLogger
+import io.javalin.util.JavalinBindException
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.runBlocking
+import java.net.BindException
+import kotlin.system.exitProcess
+
+/** A process that serves until it is told to stop. */
+interface ServedProcess {
+    /** Binds all addresses and starts all parts. Throws [BindException] or [JavalinBindException] if one is in use. */
+    suspend fun start()
+
+    /** Stops gracefully. */
+    suspend fun stop()
+}
+
+/** Starts [process] and serves until SIGTERM or SIGINT, which stop it gracefully with exit status 0. */
+fun CommandLine.serve(process: ServedProcess): Nothing {
+    try {
+        runBlocking { process.start() }
+    } catch (inUse: BindException) {
+        fail(EXIT_FAILURE, listOf("An address can't be bound: ${inUse.message}"))
+    } catch (inUse: JavalinBindException) {
+        fail(EXIT_FAILURE, listOf("An address can't be bound: ${inUse.message}"))
+    }
+    Runtime.getRuntime().addShutdownHook(
+        Thread {
+            runBlocking { process.stop() }
+            Runtime.getRuntime().halt(0)
+        },
+    )
+    Thread.currentThread().join()
+    exitProcess(0)
+}
+
+/**
+ * Launches a task that the process cannot do without. If [body] fails, [event] is logged and the process ends at once:
+ * without the task it would accept requests and never answer them, while the platform replaces a process that ended.
+ */
+fun CoroutineScope.launchEssential(
+    logger: KLogger,
+    event: Event,
+    body: suspend () -> Unit,
+): Job =
+    launch {
+        try {
+            body()
+        } catch (cancelled: CancellationException) {
+            throw cancelled
+        } catch (failure: Throwable) {
+            logger.event(event, "cause" to failure.stackTraceToString())
+            Runtime.getRuntime().halt(EXIT_FAILURE)
+        }
+    }
