--- a/egretlock-core/src/main/kotlin/io/egretlock/core/roster/RosterTiming.kt
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/roster/RosterTiming.kt
@@ -1,5 +1,7 @@
 package io.egretlock.core.roster
 
+import kotlinx.serialization.Serializable
+
 /**
  * Times that the agreement on rosters rests on, in milliseconds. All entries must have the same.
  *
@@ -11,8 +13,9 @@
  * @property confirmMillis interval between confirmations.
  * @property lostAfterMillis a member that stays unreachable this long is removed.
  * @property takeOverAfterMillis an entry that is no member publishes a roster alone once no member answered this long.
- * @property retentionMillis claims are remembered, and older jobs refused, for this long.
+ * @property retentionMillis older jobs are refused; claims must be remembered for longer.
  */
+@Serializable
 data class RosterTiming(
     val windowMillis: Long = 3_000,
     val clockDifferenceMillis: Long = 500,
@@ -22,7 +25,7 @@
     val confirmMillis: Long = 500,
     val lostAfterMillis: Long = 2_000,
     val takeOverAfterMillis: Long = 15_000,
-    val retentionMillis: Long = 900_000,
+    val retentionMillis: Long = 890_000,
 ) {
     /** Delay from a publication until its roster takes effect. */
     fun effectDelayMillis(holdMillis: Long): Long = publicationMillis + holdMillis + clockDifferenceMillis
--- a/egretlock-core/src/main/kotlin/io/egretlock/core/roster/RosterView.kt
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/roster/RosterView.kt
@@ -2,6 +2,7 @@
 
 import io.egretlock.core.job.JobId
 import io.egretlock.core.job.ProcessId
+import kotlinx.serialization.Serializable
 
 /**
  * What one entry knows of the rosters at one moment. Decides the home of any job.
@@ -12,6 +13,7 @@
  * @property horizonMillis jobs created before it, in milliseconds since the epoch, may be claimed.
  * @property inherited entries whose claims this one has taken over completely.
  */
+@Serializable
 data class RosterView(
     val self: EntryMember,
     val timing: RosterTiming,
--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/EntryDump.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/EntryDump.kt
@@ -1,7 +1,7 @@
 package io.egretlock.entry
 
 import io.egretlock.core.roster.EntryMember
-import io.egretlock.core.roster.Roster
+import io.egretlock.core.roster.RosterView
 import kotlinx.serialization.Serializable
 
 /** Whole state of an entry as operators see it. */
@@ -10,6 +10,6 @@
     val self: EntryMember,
     val ready: Boolean,
     val requestsInFlight: Int,
-    val rosters: List<Roster>,
+    val rosters: RosterView,
     val home: HomeDump,
 )
--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/EntryEvent.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/EntryEvent.kt
@@ -24,5 +24,7 @@
     SETTINGS_EDITED(1204, Level.INFO, "An operator's edit of settings ended."),
     STORE_OLDER_STATE(1205, Level.ERROR, "The store answered from an older state, which is not followed."),
     STORE_UNAVAILABLE(1300, Level.WARN, "The key-value service did not answer."),
-    ROSTER_ADOPTED(1400, Level.INFO, "A roster was adopted."),
+    ROSTER_ADOPTED(1400, Level.INFO, "A roster or a handover became known."),
+    HANDED_OVER(1401, Level.INFO, "All claims were handed to another entry."),
+    HANDOVER_FAILED(1402, Level.WARN, "Claims could not be handed over; their jobs are answered as may have run."),
 }
--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/EntryProcess.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/EntryProcess.kt
@@ -7,6 +7,10 @@
 import io.egretlock.core.placement.fairDispatcher
 import io.egretlock.core.roster.EntryMember
 import io.egretlock.core.roster.Roster
+import io.egretlock.core.roster.RosterHistory
+import io.egretlock.core.roster.RosterInput
+import io.egretlock.core.roster.RosterKeeper
+import io.egretlock.core.roster.RosterTiming
 import io.egretlock.core.settings.StoredTeamSettings
 import io.egretlock.platform.BudgetedStore
 import io.egretlock.platform.KeyValueStore
@@ -19,6 +23,7 @@
 import io.egretlock.process.event
 import io.egretlock.protocol.EntryHello
 import io.egretlock.protocol.LinkListener
+import io.egretlock.protocol.Message
 import io.egretlock.protocol.SettingsUpdate
 import io.github.oshai.kotlinlogging.KotlinLogging
 import io.javalin.Javalin
@@ -55,28 +60,29 @@
     private val home = HomeTask(self.entry, jobs, metrics, ::monotonicMillis)
     private val settingsKeeper = SettingsKeeper(::settingsChanged)
     private val settingsWatcher = SettingsWatcher(store, listener = SettingsWatchLog())
+    private val exchange = PeerExchange(settingsKeeper, ::rosterInput)
     private val peers =
-        PeerConnections(EntryHello(self.entry, self.address), settingsKeeper, selector, settings.timing, scope)
-    private val storeReader = StoreReader(store, self, ::rosterAdopted)
-    private val router = JobRouter(storeReader, home, peers)
-    private val linkServer = LinkServer(self.entry, home, router, knowledge(), settingsKeeper, scope)
+        PeerConnections(EntryHello(self.entry, self.address), exchange, selector, settings.timing, scope)
+    private val roster = rosterTask()
+    private val router = JobRouter(roster, home, peers)
+    private val linkServer = LinkServer(self.entry, home, router, knowledge(), exchange, ::claimsInherited, scope)
     private val callers = server { config -> JobRoutes(router, drain, metrics, scope).addTo(config) }
     private val operators =
         server { config ->
             OperatorsRoutes(this, registry, settings.operatorToken).addTo(config)
-            OutcomeRoutes(router, ::otherMembers, scope).addTo(config)
+            OutcomeRoutes(router, { roster.otherMembers }, scope).addTo(config)
             SettingsRoutes(settingsKeeper, SettingsEditor(store), settings.teamTokens, drain, scope).addTo(config)
         }
     private var listener: LinkListener? = null
 
     override val ready: Boolean
-        get() = !drain.isDraining && storeReader.rosters().isNotEmpty()
+        get() = !drain.isDraining && roster.view.history != null
 
     /** Binds all addresses and starts all parts. Throws if an address is taken. */
     suspend fun start() {
         metrics.observeLiveJobs { jobs.liveJobs }
         scope.launch { home.run() }
-        scope.launch { storeReader.run() }
+        scope.launch { roster.run() }
         scope.launch { settingsKeeper.run(settingsWatcher.updates()) }
         scope.launch { tick() }
         listener = LinkListener.bind(settings.linkAddress, selector, scope, settings.timing, linkServer::serve)
@@ -88,9 +94,14 @@
     /** Refuses new jobs, answers those in flight, then stops. */
     suspend fun stop() {
         drain.begin()
+        home.send(HomeInput.StopClaiming)
         logger.event(EntryEvent.DRAINING, "requests" to drain.requestsInFlight)
         val drained = withTimeoutOrNull(settings.drainMillis) { awaitDrained() }
-        if (drained == null) logger.event(EntryEvent.DRAIN_TIMED_OUT, "requests" to drain.requestsInFlight)
+        if (drained == null) {
+            logger.event(EntryEvent.DRAIN_TIMED_OUT, "requests" to drain.requestsInFlight)
+        } else {
+            Departure(self, roster, home, peers).leave()
+        }
         callers.stop()
         operators.stop()
         listener?.close()
@@ -102,7 +113,7 @@
     override suspend fun dump(): String {
         val reply = CompletableDeferred<HomeDump>()
         home.send(HomeInput.Dump(reply))
-        return json.encodeToString(EntryDump(self, ready, drain.requestsInFlight, storeReader.rosters(), reply.await()))
+        return json.encodeToString(EntryDump(self, ready, drain.requestsInFlight, roster.view, reply.await()))
     }
 
     private suspend fun awaitDrained() {
@@ -115,24 +126,38 @@
         return reply.await().liveJobs.size
     }
 
-    private fun rosterAdopted(roster: Roster) {
-        val position = roster.members.indexOf(self)
-        if (position >= 0) home.send(HomeInput.EntriesChanged(EntryShare(position, roster.members.size)))
+    private fun rosterTask(): RosterTask {
+        val keeper = RosterKeeper(self, RosterTiming())
+        val rosterStore = RosterStore(store, System::currentTimeMillis)
+        return RosterTask(self, keeper, rosterStore, rosterNetwork(), scope, System::currentTimeMillis)
+    }
+
+    private fun rosterInput(input: RosterInput) = roster.send(input)
+
+    private fun claimsInherited(owners: Set<ProcessId>) = roster.send(RosterInput.ClaimsInherited(owners))
+
+    private fun rosterNetwork() =
+        object : RosterNetwork {
+            override fun tell(
+                member: EntryMember,
+                message: Message,
+            ) = peers.tell(member, message)
+
+            override fun rostersChanged(history: RosterHistory) = rosterAdopted(history.newest)
+        }
+
+    private fun rosterAdopted(newest: Roster) {
+        peers.connectOnly(newest.members.filter { it.entry != self.entry })
+        home.send(HomeInput.RostersChanged(roster.newestRosters))
+        val position = newest.members.indexOf(self)
+        if (position >= 0) home.send(HomeInput.EntriesChanged(EntryShare(position, newest.members.size)))
     }
 
     private fun settingsChanged(applied: List<StoredTeamSettings>) {
         applied.forEach { home.send(HomeInput.Settings(it)) }
-        otherMembers().forEach { peers.tell(it, SettingsUpdate(applied)) }
+        roster.otherMembers.forEach { peers.tell(it, SettingsUpdate(applied)) }
     }
 
-    private fun otherMembers(): List<EntryMember> =
-        storeReader
-            .rosters()
-            .lastOrNull()
-            ?.members
-            .orEmpty()
-            .filter { it.entry != self.entry }
-
     private suspend fun tick() {
         while (true) {
             home.send(HomeInput.Tick)
@@ -142,7 +167,7 @@
 
     private fun knowledge() =
         object : SharedKnowledge {
-            override fun rosters(): List<Roster> = storeReader.rosters()
+            override fun rosters(): List<Roster> = roster.newestRosters
 
             override fun settings(): List<StoredTeamSettings> = settingsKeeper.table.all()
         }
--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/HomeInput.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/HomeInput.kt
@@ -1,5 +1,6 @@
 package io.egretlock.entry
 
+import io.egretlock.core.claim.HandedClaim
 import io.egretlock.core.home.JobProgress
 import io.egretlock.core.job.FailureDomain
 import io.egretlock.core.job.Job
@@ -7,8 +8,10 @@
 import io.egretlock.core.job.JobOutcome
 import io.egretlock.core.job.ProcessId
 import io.egretlock.core.job.TeamName
+import io.egretlock.core.job.Verdict
 import io.egretlock.core.placement.EntryShare
 import io.egretlock.core.placement.UpstreamAnnouncement
+import io.egretlock.core.roster.Roster
 import io.egretlock.core.settings.StoredTeamSettings
 import io.egretlock.protocol.Link
 import io.egretlock.protocol.Message
@@ -18,13 +21,33 @@
 
 /** Everything that reaches a [HomeTask], in order of arrival. */
 internal sealed interface HomeInput {
-    /** Claim [job] or join it; [reply] gets its outcome. */
+    /** Claim [job] or join it; [reply] gets its outcome. If [unlessKnown] is set, it is the answer to an unknown job. */
     data class Submit(
         val job: Job,
         val remainingMillis: Long,
         val reply: CompletableDeferred<JobOutcome>,
+        val unlessKnown: Verdict? = null,
     ) : HomeInput
 
+    /** Claim no more jobs; [reply] gets all claims, for an heir. */
+    data class HandOver(
+        val reply: CompletableDeferred<List<HandedClaim>>,
+    ) : Membership
+
+    /** Answer for [claims] from now on; [reply] is completed once they are recorded. */
+    data class Inherit(
+        val claims: List<HandedClaim>,
+        val reply: CompletableDeferred<Boolean>,
+    ) : Membership
+
+    /** Agents must connect to the members of [rosters]. */
+    data class RostersChanged(
+        val rosters: List<Roster>,
+    ) : Membership
+
+    /** Refuse new jobs, and let the claimed ones end. */
+    data object StopClaiming : Membership
+
     /** Cancel [job]; [reply] gets its outcome, or null if it is not known here. */
     data class Cancel(
         val job: JobId,
@@ -67,7 +90,7 @@
     /** The entries that share the limits have changed. */
     data class EntriesChanged(
         val share: EntryShare,
-    ) : HomeInput
+    ) : Membership
 
     /** How did the jobs of [team] end here, and which settings are in force? */
     data class Outcomes(
@@ -75,6 +98,9 @@
         val reply: CompletableDeferred<OutcomeReport>,
     ) : HomeInput
 
+    /** Concerns the entry's part among all entries. */
+    sealed interface Membership : HomeInput
+
     /** Time has passed. */
     data object Tick : HomeInput
 
--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/HomeTask.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/HomeTask.kt
@@ -6,8 +6,10 @@
 import io.egretlock.core.job.JobId
 import io.egretlock.core.job.JobOutcome
 import io.egretlock.core.job.ProcessId
+import io.egretlock.core.job.Reason
 import io.egretlock.core.job.TaskId
 import io.egretlock.core.job.TeamName
+import io.egretlock.core.job.Verdict
 import io.egretlock.core.placement.AgentView
 import io.egretlock.core.settings.StoredTeamSettings
 import io.egretlock.process.event
@@ -26,6 +28,7 @@
 import io.egretlock.protocol.Reconcile
 import io.egretlock.protocol.ReconcileReply
 import io.egretlock.protocol.RevokeReply
+import io.egretlock.protocol.RosterUpdate
 import io.egretlock.protocol.SettingsApplied
 import io.egretlock.protocol.SettingsRevision
 import io.egretlock.protocol.SettingsUpdate
@@ -55,6 +58,7 @@
     private val waiters = mutableMapOf<JobId, MutableList<CompletableDeferred<JobOutcome>>>()
     private val settings = linkedMapOf<TeamName, StoredTeamSettings>()
     private val counts = OutcomeCounts()
+    private var handedOver = false
     private val acknowledged = linkedMapOf<ProcessId, MutableList<TaskId>>()
 
     /** Queues an input. */
@@ -88,14 +92,39 @@
             is HomeInput.FromAgent -> if (isCurrent(input.link, input.agent)) fromAgent(input.agent, input.message)
             is HomeInput.AgentClosed -> agentClosed(input)
             is HomeInput.Settings -> applySettings(input.stored)
-            is HomeInput.EntriesChanged -> home.entriesChanged(input.share)
             is HomeInput.Outcomes -> input.reply.complete(outcomes(input.team))
+            is HomeInput.Membership -> handleMembership(input)
             is HomeInput.Tick -> home.tick(nowMillis())
             is HomeInput.Dump -> input.reply.complete(dump())
         }
     }
 
+    private fun handleMembership(input: HomeInput.Membership) {
+        when (input) {
+            is HomeInput.StopClaiming -> home.stopClaiming()
+            is HomeInput.HandOver -> handOver(input)
+            is HomeInput.Inherit -> inherit(input)
+            is HomeInput.RostersChanged -> agents.values.forEach { it.link.send(RosterUpdate(input.rosters)) }
+            is HomeInput.EntriesChanged -> home.entriesChanged(input.share)
+        }
+    }
+
+    private fun handOver(input: HomeInput.HandOver) {
+        handedOver = true
+        input.reply.complete(home.exportClaims(nowMillis()))
+    }
+
+    private fun inherit(input: HomeInput.Inherit) {
+        if (!handedOver) home.importClaims(input.claims, nowMillis())
+        input.reply.complete(!handedOver)
+    }
+
     private fun submit(input: HomeInput.Submit) {
+        val unlessKnown = if (handedOver) HANDED_OVER else input.unlessKnown
+        if (unlessKnown != null && home.state(input.job.id) == null) {
+            input.reply.complete(JobOutcome.WithoutAnswer(unlessKnown))
+            return
+        }
         when (val submission = home.submit(input.job, input.remainingMillis, nowMillis())) {
             is Submission.Ended -> input.reply.complete(submission.outcome)
             is Submission.Waiting -> waiters.getOrPut(input.job.id) { mutableListOf() } += input.reply
@@ -247,6 +276,11 @@
         )
 
     private companion object {
+        val HANDED_OVER =
+            Verdict.MayHaveRun(
+                Reason.DRAINING,
+                "The home of the job has handed its claims to another entry.",
+            )
         const val MOST_INPUTS_AT_ONCE = 64
     }
 
--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/JobLocator.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/JobLocator.kt
@@ -18,6 +18,11 @@
     /** This entry, which may claim the job now. */
     data object Here : JobLocation
 
+    /** This entry, which may join the job if it knows it, but not claim it; [otherwise] is the answer if it does not. */
+    data class HereIfKnown(
+        val otherwise: Verdict,
+    ) : JobLocation
+
     /** Another entry. */
     data class Elsewhere(
         val member: EntryMember,
--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/JobRouter.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/JobRouter.kt
@@ -32,17 +32,31 @@
     ): JobOutcome =
         when (val location = locator.locate(job.id, job.createdAtMillis)) {
             is JobLocation.Here -> submitHere(job, remainingMillis)
+            is JobLocation.HereIfKnown -> submitHere(job, remainingMillis, location.otherwise)
             is JobLocation.Nowhere -> JobOutcome.WithoutAnswer(location.verdict)
             is JobLocation.Elsewhere -> submitElsewhere(location.member, job, remainingMillis)
         }
 
-    /** Submits or joins [job] at this entry, which is its home. */
-    suspend fun submitHere(
+    /** Submits or joins a job that another entry forwarded here. It is not forwarded again. */
+    suspend fun submitForwarded(
         job: Job,
         remainingMillis: Long,
+    ): JobOutcome =
+        when (val location = locator.locate(job.id, job.createdAtMillis)) {
+            is JobLocation.Here -> submitHere(job, remainingMillis)
+            is JobLocation.HereIfKnown -> submitHere(job, remainingMillis, location.otherwise)
+            is JobLocation.Nowhere -> submitHere(job, remainingMillis, location.verdict)
+            is JobLocation.Elsewhere -> submitHere(job, remainingMillis, moved(location.member))
+        }
+
+    /** Submits or joins [job] at this entry. An unknown job is not claimed if [unlessKnown] has the answer to it. */
+    private suspend fun submitHere(
+        job: Job,
+        remainingMillis: Long,
+        unlessKnown: Verdict? = null,
     ): JobOutcome {
         val reply = CompletableDeferred<JobOutcome>()
-        home.send(HomeInput.Submit(job, remainingMillis, reply))
+        home.send(HomeInput.Submit(job, remainingMillis, reply, unlessKnown))
         return reply.await()
     }
 
@@ -53,6 +67,7 @@
     ): JobOutcome? =
         when (val location = locator.locate(job, createdAtMillis)) {
             is JobLocation.Here -> cancelHere(job)
+            is JobLocation.HereIfKnown -> cancelHere(job) ?: JobOutcome.WithoutAnswer(location.otherwise)
             is JobLocation.Nowhere -> JobOutcome.WithoutAnswer(location.verdict)
             is JobLocation.Elsewhere -> {
                 val reply =
@@ -75,6 +90,7 @@
     ): JobState =
         when (val location = locator.locate(job, createdAtMillis)) {
             is JobLocation.Here -> stateHere(job)
+            is JobLocation.HereIfKnown -> stateHere(job)
             is JobLocation.Nowhere -> JobState.UNKNOWN
             is JobLocation.Elsewhere -> {
                 val reply = peers.call(location.member, CALL_MILLIS) { request -> ForwardQuery(request, job) }
@@ -119,6 +135,9 @@
         return (reply as? ForwardReply)?.outcome ?: homeLost(member)
     }
 
+    private fun moved(member: EntryMember) =
+        Verdict.MayHaveRun(Reason.NO_AUTHORITY, "The home of the job has become entry '${member.entry}'.")
+
     private fun homeLost(member: EntryMember) =
         JobOutcome.WithoutAnswer(
             Verdict.MayHaveRun(Reason.HOME_LOST, "Entry '${member.entry}', the home of the job, does not answer."),
--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/LinkServer.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/LinkServer.kt
@@ -7,18 +7,21 @@
 import io.egretlock.core.roster.Roster
 import io.egretlock.core.settings.StoredTeamSettings
 import io.egretlock.protocol.AgentHello
+import io.egretlock.protocol.ClaimHandover
 import io.egretlock.protocol.EntryHello
 import io.egretlock.protocol.ForwardCancel
 import io.egretlock.protocol.ForwardJob
 import io.egretlock.protocol.ForwardQuery
 import io.egretlock.protocol.ForwardReply
 import io.egretlock.protocol.ForwardStateReply
+import io.egretlock.protocol.HandoverReply
 import io.egretlock.protocol.Link
 import io.egretlock.protocol.Message
 import io.egretlock.protocol.OutcomesReply
 import io.egretlock.protocol.OutcomesRequest
 import io.egretlock.protocol.SettingsUpdate
 import io.egretlock.protocol.Welcome
+import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.launch
 
@@ -28,7 +31,8 @@
     private val home: HomeTask,
     private val router: JobRouter,
     private val knowledge: SharedKnowledge,
-    private val settings: SettingsKeeper,
+    private val exchange: PeerExchange,
+    private val inherited: (Set<ProcessId>) -> Unit,
     private val scope: CoroutineScope,
 ) {
     /** Serves one connection until it ends. */
@@ -48,7 +52,7 @@
         link.send(welcome())
         home.send(opened(link, hello))
         for (message in link.incoming) {
-            if (message is SettingsUpdate) settings.learned(message.settings)
+            if (message is SettingsUpdate) exchange.received(message)
             home.send(HomeInput.FromAgent(link, hello.agent, message))
         }
         home.send(HomeInput.AgentClosed(link, hello.agent))
@@ -78,15 +82,23 @@
     ) {
         when (message) {
             is ForwardJob ->
-                link.send(ForwardReply(message.request, router.submitHere(message.job, message.remainingMillis)))
+                link.send(ForwardReply(message.request, router.submitForwarded(message.job, message.remainingMillis)))
             is ForwardCancel -> link.send(ForwardReply(message.request, router.cancelHere(message.job) ?: unknownJob()))
             is ForwardQuery -> link.send(ForwardStateReply(message.request, router.stateHere(message.job)))
-            is SettingsUpdate -> settings.learned(message.settings)
             is OutcomesRequest -> link.send(OutcomesReply(message.request, router.outcomesHere(message.team)))
-            else -> Unit
+            is ClaimHandover -> link.send(HandoverReply(message.request, inherit(message)))
+            else -> exchange.received(message)
         }
     }
 
+    private suspend fun inherit(handover: ClaimHandover): Boolean {
+        val reply = CompletableDeferred<Boolean>()
+        home.send(HomeInput.Inherit(handover.claims, reply))
+        val accepted = reply.await()
+        if (accepted && handover.owners.isNotEmpty()) inherited(handover.owners)
+        return accepted
+    }
+
     private fun unknownJob() =
         JobOutcome.WithoutAnswer(Verdict.MayHaveRun(Reason.RETENTION, "The job is not known at its home."))
 }
--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/PeerConnection.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/PeerConnection.kt
@@ -1,5 +1,6 @@
 package io.egretlock.entry
 
+import io.egretlock.core.job.ProcessId
 import io.egretlock.core.roster.EntryMember
 import io.egretlock.process.event
 import io.egretlock.protocol.EntryHello
@@ -7,18 +8,19 @@
 import io.egretlock.protocol.LinkTiming
 import io.egretlock.protocol.Message
 import io.egretlock.protocol.ReplyMessage
-import io.egretlock.protocol.SettingsUpdate
 import io.egretlock.protocol.Welcome
 import io.github.oshai.kotlinlogging.KotlinLogging
 import io.ktor.network.selector.SelectorManager
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
 import kotlinx.coroutines.TimeoutCancellationException
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.selects.select
+import java.net.ConnectException
 
 private val logger = KotlinLogging.logger {}
 
@@ -29,7 +31,7 @@
 internal class PeerConnection(
     private val member: EntryMember,
     private val hello: EntryHello,
-    private val settings: SettingsKeeper,
+    private val listener: PeerListener,
     private val selector: SelectorManager,
     private val timing: LinkTiming,
     private val scope: CoroutineScope,
@@ -37,10 +39,16 @@
     private val commands = Channel<Command>(Channel.UNLIMITED)
     private val pending = linkedMapOf<Long, Command.Call>()
     private var unreachableSinceNanos: Long? = null
+    private var task: Job? = null
 
     /** Begins to dial. */
     fun start() {
-        scope.launch { run() }
+        task = scope.launch { run() }
+    }
+
+    /** Ends the connection; calls that wait get no reply. */
+    fun stop() {
+        commands.trySend(Command.Stop)
     }
 
     /** Waits for the reply to [request]; null once the other entry has been unreachable for too long. */
@@ -75,11 +83,17 @@
             Link.dial(member.address, selector, scope, timing)
         } catch (timeout: TimeoutCancellationException) {
             logger.debug { "Entry '${member.entry}' did not accept: $timeout" }
+            listener.unreachable(member.entry, gone = false)
             null
         } catch (cancelled: CancellationException) {
             throw cancelled
+        } catch (refusal: ConnectException) {
+            logger.debug { "Entry '${member.entry}' refused: $refusal" }
+            listener.unreachable(member.entry, gone = REFUSED in refusal.message.orEmpty())
+            null
         } catch (failure: Exception) {
-            logger.debug { "Entry '${member.entry}' refused: $failure" }
+            logger.debug { "Entry '${member.entry}' cannot be dialled: $failure" }
+            listener.unreachable(member.entry, gone = false)
             null
         }
 
@@ -106,11 +120,15 @@
     private suspend fun serve(link: Link) {
         unreachableSinceNanos = null
         link.send(hello)
-        link.send(SettingsUpdate(settings.table.all()))
+        listener.greetings().forEach { link.send(it) }
         pending.values.forEach { link.send(it.message) }
         logger.event(EntryEvent.PEER_CONNECTED, "peer" to member.entry)
-        while (serveOne(link)) Unit
-        link.close()
+        try {
+            while (serveOne(link)) Unit
+        } finally {
+            link.close()
+        }
+        listener.unreachable(member.entry, gone = false)
         logger.event(EntryEvent.PEER_DISCONNECTED, "peer" to member.entry)
     }
 
@@ -138,15 +156,29 @@
                 null
             }
             is Command.Tell -> command.message
+            is Command.Stop -> {
+                failPending()
+                task?.cancel()
+                null
+            }
         }
 
     private fun received(message: Message) {
         when (message) {
             is ReplyMessage -> pending.remove(message.request)?.reply?.complete(message)
-            is Welcome -> settings.learned(message.settings)
-            is SettingsUpdate -> settings.learned(message.settings)
-            else -> Unit
+            is Welcome -> welcomed(message)
+            else -> listener.received(message)
+        }
+    }
+
+    /** Another incarnation at the member's address proves that the member has ended. */
+    private fun welcomed(welcome: Welcome) {
+        if (welcome.entry == member.entry) {
+            listener.reachable(member.entry)
+        } else {
+            listener.unreachable(member.entry, gone = true)
         }
+        listener.received(welcome)
     }
 
     private sealed interface Command {
@@ -160,13 +192,34 @@
             val request: Long,
         ) : Command
 
+        data object Stop : Command
+
         data class Tell(
             val message: Message,
         ) : Command
     }
 
     private companion object {
+        const val REFUSED = "refused"
         const val REDIAL_MILLIS = 100L
         const val NANOS_PER_MILLI = 1_000_000L
     }
 }
+
+/** Is told what happens on the connections to peers. */
+internal interface PeerListener {
+    /** Messages to begin each connection with. */
+    fun greetings(): List<Message>
+
+    /** The peer answers. */
+    fun reachable(entry: ProcessId)
+
+    /** The peer does not answer; [gone] if its process is known to have ended. */
+    fun unreachable(
+        entry: ProcessId,
+        gone: Boolean,
+    )
+
+    /** A message that is no reply. */
+    fun received(message: Message)
+}
--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/PeerConnections.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/PeerConnections.kt
@@ -14,7 +14,7 @@
 /** The connections that this entry dials to other entries, made when first needed. */
 internal class PeerConnections(
     private val hello: EntryHello,
-    private val settings: SettingsKeeper,
+    private val listener: PeerListener,
     private val selector: SelectorManager,
     private val timing: LinkTiming,
     private val scope: CoroutineScope,
@@ -43,8 +43,15 @@
         message: Message,
     ) = connection(member).tell(message)
 
+    /** Connects to all [members] and ends the connections to others. */
+    fun connectOnly(members: List<EntryMember>) {
+        val wanted = members.map { it.entry }.toSet()
+        members.forEach { connection(it) }
+        connections.keys.filter { it !in wanted }.forEach { connections.remove(it)?.stop() }
+    }
+
     private fun connection(member: EntryMember): PeerConnection =
         connections.computeIfAbsent(member.entry) {
-            PeerConnection(member, hello, settings, selector, timing, scope).also { it.start() }
+            PeerConnection(member, hello, listener, selector, timing, scope).also { it.start() }
         }
 }
--- /dev/null
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/PeerExchange.kt
@@ -0,0 +1,38 @@
+package io.egretlock.entry
+
+import io.egretlock.core.job.ProcessId
+import io.egretlock.core.roster.RosterInput
+import io.egretlock.protocol.HistoryUpdate
+import io.egretlock.protocol.JoinRequest
+import io.egretlock.protocol.Message
+import io.egretlock.protocol.PromiseReply
+import io.egretlock.protocol.PromiseRequest
+import io.egretlock.protocol.SettingsUpdate
+import io.egretlock.protocol.Welcome
+
+/** Passes what peers say, on whichever connection, to the tasks that it concerns. */
+internal class PeerExchange(
+    private val settings: SettingsKeeper,
+    private val roster: (RosterInput) -> Unit,
+) : PeerListener {
+    override fun greetings(): List<Message> = listOf(SettingsUpdate(settings.table.all()))
+
+    override fun reachable(entry: ProcessId) = roster(RosterInput.PeerReachable(entry))
+
+    override fun unreachable(
+        entry: ProcessId,
+        gone: Boolean,
+    ) = roster(RosterInput.PeerUnreachable(entry, gone))
+
+    override fun received(message: Message) {
+        when (message) {
+            is Welcome -> settings.learned(message.settings)
+            is SettingsUpdate -> settings.learned(message.settings)
+            is HistoryUpdate -> roster(RosterInput.HistoryTold(message.history))
+            is PromiseRequest -> roster(RosterInput.PromiseAsked(message.question))
+            is PromiseReply -> roster(RosterInput.PromiseGiven(message.from, message.question))
+            is JoinRequest -> roster(RosterInput.JoinRequested(message.member))
+            else -> Unit
+        }
+    }
+}
--- /dev/null
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/RosterTask.kt
@@ -0,0 +1,163 @@
+package io.egretlock.entry
+
+import io.egretlock.core.job.JobId
+import io.egretlock.core.job.ProcessId
+import io.egretlock.core.roster.EntryMember
+import io.egretlock.core.roster.Roster
+import io.egretlock.core.roster.RosterHistory
+import io.egretlock.core.roster.RosterInput
+import io.egretlock.core.roster.RosterKeeper
+import io.egretlock.core.roster.RosterOutput
+import io.egretlock.core.roster.RosterView
+import io.egretlock.process.event
+import io.egretlock.protocol.HistoryUpdate
+import io.egretlock.protocol.JoinRequest
+import io.egretlock.protocol.Message
+import io.egretlock.protocol.PromiseReply
+import io.egretlock.protocol.PromiseRequest
+import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import java.util.concurrent.ConcurrentHashMap
+
+private val logger = KotlinLogging.logger {}
+
+/**
+ * The task that owns a [RosterKeeper]: feeds it store reads, messages of peers and time, and carries out what it wants.
+ *
+ * @property nowMillis clock in milliseconds since the epoch.
+ */
+internal class RosterTask(
+    private val self: EntryMember,
+    private val keeper: RosterKeeper,
+    private val store: RosterStore,
+    private val network: RosterNetwork,
+    private val scope: CoroutineScope,
+    private val nowMillis: () -> Long,
+) : JobLocator {
+    private val reachable = ConcurrentHashMap.newKeySet<ProcessId>()
+    private val inputs = Channel<RosterInput>(Channel.UNLIMITED)
+
+    /** What is known now. */
+    @Volatile
+    var view: RosterView = keeper.view
+        private set
+
+    /** The newest rosters, oldest first: those whose members must be connected. */
+    val newestRosters: List<Roster>
+        get() =
+            view.history
+                ?.rosters
+                .orEmpty()
+                .takeLast(CONNECTED_ROSTERS)
+
+    /** Other members of the newest roster. */
+    val otherMembers: List<EntryMember>
+        get() =
+            view.history
+                ?.newest
+                ?.members
+                .orEmpty()
+                .filter { it.entry != self.entry }
+
+    /** Another member that answers and stays; null if there is none. */
+    fun reachableMember(): EntryMember? {
+        val left =
+            view.history
+                ?.handovers
+                .orEmpty()
+                .map { it.from }
+        return otherMembers.filter { it.entry in reachable && it.entry !in left }.randomOrNull()
+    }
+
+    /** Queues an input. */
+    fun send(input: RosterInput) {
+        inputs.trySend(input)
+    }
+
+    /** Handles inputs until cancelled. */
+    suspend fun run() {
+        scope.launch { tick() }
+        for (input in inputs) {
+            noteReachability(input)
+            val outputs = keeper.accept(input, nowMillis())
+            view = keeper.view
+            outputs.forEach(::carryOut)
+            if (input is RosterInput.PeerReachable) greet(input)
+        }
+    }
+
+    override fun locate(
+        id: JobId,
+        createdAtMillis: Long,
+    ): JobLocation = JobLocations.of(view.homeOf(id, createdAtMillis, nowMillis()), nowMillis())
+
+    private fun noteReachability(input: RosterInput) {
+        when (input) {
+            is RosterInput.PeerReachable -> reachable += input.entry
+            is RosterInput.PeerUnreachable -> reachable -= input.entry
+            else -> Unit
+        }
+    }
+
+    private suspend fun tick() {
+        while (true) {
+            send(RosterInput.Tick)
+            delay(TICK_MILLIS)
+        }
+    }
+
+    private fun carryOut(output: RosterOutput) {
+        when (output) {
+            is RosterOutput.ReadStore -> scope.launch { send(store.read()) }
+            is RosterOutput.Publish -> scope.launch { publish(output) }
+            is RosterOutput.AskPromises -> output.members.forEach { network.tell(it, PromiseRequest(output.question)) }
+            is RosterOutput.GivePromise ->
+                otherMembers
+                    .firstOrNull { it.entry == output.question.asker }
+                    ?.let { network.tell(it, PromiseReply(self.entry, output.question)) }
+            is RosterOutput.TellHistory -> tell(output.history)
+            is RosterOutput.RequestJoin -> network.tell(output.member, JoinRequest(self))
+        }
+    }
+
+    private suspend fun publish(output: RosterOutput.Publish) {
+        store.publish(output)
+        send(RosterInput.PublicationEnded)
+    }
+
+    private fun tell(history: RosterHistory) {
+        network.rostersChanged(history)
+        otherMembers.forEach { network.tell(it, HistoryUpdate(history)) }
+        logger.event(
+            EntryEvent.ROSTER_ADOPTED,
+            "version" to history.newest.version,
+            "members" to history.newest.members.size,
+            "effectiveFrom" to history.newest.effectiveFromMillis,
+        )
+    }
+
+    private fun greet(input: RosterInput.PeerReachable) {
+        val history = view.history ?: return
+        otherMembers.firstOrNull { it.entry == input.entry }?.let { network.tell(it, HistoryUpdate(history)) }
+    }
+
+    private companion object {
+        const val TICK_MILLIS = 100L
+        const val CONNECTED_ROSTERS = 2
+    }
+}
+
+/** What a [RosterTask] needs of the connections. */
+internal interface RosterNetwork {
+    /** Sends a message to another entry, if it is connected. */
+    fun tell(
+        member: EntryMember,
+        message: Message,
+    )
+
+    /** Another roster or handover is known. */
+    fun rostersChanged(history: RosterHistory)
+}
