Route every job by the roster's history, and hand claims to an heir on a planned stop

Cause: entries hashed over the roster that they read last, so that a join, a crash or a restart moved ids that another entry might have claimed; a planned stop refused new jobs, or lost those forwarded to the leaver. Ruled out: holding new jobs back while the leaver drains; handing over only after draining, which refuses new jobs for as long as the longest running one; removing the leaver from the roster at once, upon which agents would drop it. A leaver is removed once it is gone.

--- a/egretlock-core/src/main/kotlin/io/egretlock/core/gate/StartGate.kt
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/gate/StartGate.kt
@@ -11,10 +11,12 @@
  *
  * @property retentionMillis time for which an ended or revoked task is remembered, and an answer waits for its entry.
  * @property largestRecords tasks remembered at once; while there are as many, new tasks are refused.
+ * @property largestKeptCharacters length of all answers that wait for their entries; beyond it, new tasks are refused.
  */
 data class GateLimits(
     val retentionMillis: Long = 900_000,
     val largestRecords: Int = 200_000,
+    val largestKeptCharacters: Long = 16_000_000,
 )
 
 /** What a [StartGate] says to a request to start a task. */
@@ -42,7 +44,9 @@
     private val records = HashMap<TaskId, TaskRecord>()
     private val runningTasks = LinkedHashSet<TaskId>()
     private val answers = LinkedHashMap<TaskId, KeptAnswer>()
+    private var keptCharacters = 0L
     private val expiries = ArrayDeque<Expiry>()
+    private val latestIncarnations = HashMap<String, Long>()
 
     /** Tasks handed to the upstream that have not ended. */
     val running: Set<TaskId>
@@ -71,6 +75,7 @@
             record.hasStarted() -> StartDecision.DUPLICATE
             record != null && record.attempt >= attempt.attempt -> StartDecision.REFUSED
             record == null && records.size >= limits.largestRecords -> StartDecision.REFUSED
+            keptCharacters >= limits.largestKeptCharacters -> StartDecision.REFUSED
             else -> admit(owner, attempt)
         }
     }
@@ -95,7 +100,7 @@
         exclude(TaskAttempt(task, record.attempt), nowMillis)
     }
 
-    /** Keeps the outcome of a running task; null if the task is not running. */
+    /** Keeps the outcome of a running task; null if the task is not running or nobody waits for its answer. */
     fun finish(
         task: TaskId,
         outcome: TaskOutcome,
@@ -104,6 +109,10 @@
     ): KeptAnswer? {
         val record = records[task] as? TaskRecord.Running ?: return null
         val answer = KeptAnswer(TaskAttempt(task, record.attempt), record.owner, outcome, runMillis)
+        if (isReplaced(record.owner)) {
+            settle(task, record, nowMillis)
+            return null
+        }
         store(task, TaskRecord.Finished(record.attempt, answer, nowMillis))
         return answer
     }
@@ -143,13 +152,18 @@
             }
         }
 
-    /** Drops the answers for earlier incarnations of [owner], which nobody can acknowledge any more. */
-    fun forgetEarlier(
+    /**
+     * Learns that [owner] has replaced its earlier incarnations, for which nobody can acknowledge answers any more. Drops
+     * those answers and returns the tasks that still run for them.
+     */
+    fun ownerStarted(
         owner: ProcessId,
         nowMillis: Long,
-    ) {
-        val stale = answers.filterValues { it.owner.precedes(owner) }.keys
+    ): List<TaskId> {
+        latestIncarnations.merge(owner.name, owner.incarnation, ::maxOf)
+        val stale = answers.filterValues { isReplaced(it.owner) }.keys
         stale.forEach { task -> settle(task, records.getValue(task), nowMillis) }
+        return runningTasks.filter { task -> isReplaced((records.getValue(task) as TaskRecord.Running).owner) }
     }
 
     /** Forgets what has been remembered for longer than the retention period. */
@@ -246,12 +260,15 @@
     ) {
         records[task] = record
         if (record is TaskRecord.Running) runningTasks += task else runningTasks -= task
-        if (record is TaskRecord.Finished) answers[task] = record.answer else answers -= task
+        val replaced = if (record is TaskRecord.Finished) answers.put(task, record.answer) else answers.remove(task)
+        keptCharacters += lengthOf(answers[task]) - lengthOf(replaced)
     }
 
+    private fun lengthOf(answer: KeptAnswer?): Int = (answer?.outcome as? TaskOutcome.Succeeded)?.answer?.length ?: 0
+
     private fun TaskRecord?.hasStarted(): Boolean = this != null && this !is TaskRecord.Revoked
 
-    private fun ProcessId.precedes(other: ProcessId): Boolean = name == other.name && incarnation < other.incarnation
+    private fun isReplaced(owner: ProcessId): Boolean = owner.incarnation < (latestIncarnations[owner.name] ?: 0)
 
     private data class Expiry(
         val task: TaskId,
--- a/egretlock-core/src/main/kotlin/io/egretlock/core/roster/RosterTiming.kt
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/roster/RosterTiming.kt
@@ -20,7 +20,7 @@
     val windowMillis: Long = 3_000,
     val clockDifferenceMillis: Long = 500,
     val clientAheadMillis: Long = 1_000,
-    val publicationMillis: Long = 1_000,
+    val publicationMillis: Long = 1_500,
     val promiseLimitMillis: Long = 900_000,
     val confirmMillis: Long = 500,
     val lostAfterMillis: Long = 2_000,
--- a/egretlock-core/src/test/kotlin/io/egretlock/core/gate/StartGateTest.kt
+++ b/egretlock-core/src/test/kotlin/io/egretlock/core/gate/StartGateTest.kt
@@ -13,7 +13,7 @@
 import org.junit.jupiter.api.Test
 
 class StartGateTest {
-    private val gate = StartGate(GateLimits(retentionMillis = 100, largestRecords = 2))
+    private val gate = StartGate(GateLimits(retentionMillis = 100, largestRecords = 2, largestKeptCharacters = 4))
     private val entry = ProcessId("entry-1", 1)
     private val other = ProcessId("entry-2", 1)
     private val task = TaskId(JobId("job"), 0)
@@ -127,15 +127,34 @@
     }
 
     @Test
-    fun `given an answer for an earlier incarnation, when the entry is back, then the answer is dropped`() {
+    fun `given as many kept answers as allowed, when another task is started, then it is refused until acknowledged`() {
         gate.start(entry, first, 0)
         gate.finish(task, outcome, 5, 5)
-        gate.forgetEarlier(other, 6)
+        val next = TaskAttempt(TaskId(JobId("job"), 1), 1)
+        assertEquals(StartDecision.REFUSED, gate.start(entry, next, 6))
+        gate.acknowledge(entry, listOf(task), 7)
+        assertEquals(StartDecision.ADMITTED, gate.start(entry, next, 8))
+    }
+
+    @Test
+    fun `given an answer for an earlier incarnation, when the entry has restarted, then the answer is dropped`() {
+        gate.start(entry, first, 0)
+        gate.finish(task, outcome, 5, 5)
+        gate.ownerStarted(other, 6)
         assertEquals(1, gate.unacknowledged.size)
-        gate.forgetEarlier(entry.copy(incarnation = 2), 6)
+        gate.ownerStarted(entry.copy(incarnation = 2), 6)
         assertEquals(0, gate.unacknowledged.size)
     }
 
+    @Test
+    fun `given a task for an earlier incarnation, when the entry has restarted, then no answer of it is kept`() {
+        gate.start(entry, first, 0)
+        assertEquals(listOf(task), gate.ownerStarted(entry.copy(incarnation = 2), 1))
+        assertNull(gate.finish(task, outcome, 5, 5))
+        assertEquals(emptyList<KeptAnswer>(), gate.unacknowledged)
+        assertEquals(StartDecision.DUPLICATE, gate.start(entry, second, 6))
+    }
+
     @Test
     fun `given a task that is not running, when it finishes, then there is no answer`() {
         assertNull(gate.finish(task, outcome, 5, 5))
--- a/egretlock-core/src/test/kotlin/io/egretlock/core/roster/RosterSimulation.kt
+++ b/egretlock-core/src/test/kotlin/io/egretlock/core/roster/RosterSimulation.kt
@@ -109,7 +109,7 @@
             if (!heir.isLeaving) {
                 heir.settled += claims
                 heir.inherited += owned
-                tell(heir, RosterInput.ClaimsInherited(owned))
+                tell(heir, RosterInput.ClaimsInherited(owned, Handover(entry.member.entry, heir.member)))
             }
         }
     }
--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/Departure.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/Departure.kt
@@ -7,6 +7,8 @@
 import io.egretlock.process.event
 import io.egretlock.protocol.ClaimHandover
 import io.egretlock.protocol.HandoverReply
+import io.egretlock.protocol.Message
+import io.egretlock.protocol.RunningJob
 import io.github.oshai.kotlinlogging.KotlinLogging
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.delay
@@ -14,52 +16,70 @@
 
 private val logger = KotlinLogging.logger {}
 
-/** The last part of a planned stop: hands all claims to one heir and waits until the roster is without this entry. */
+/**
+ * A planned stop: one heir takes all claims over and claims new jobs at once, while running jobs end here. The heir sends
+ * those who resubmit a running job to this entry until it has ended.
+ */
 internal class Departure(
     private val self: EntryMember,
     private val roster: RosterTask,
     private val home: HomeTask,
     private val peers: PeerConnections,
+    private val signal: HandoverSignal,
 ) {
-    /** Leaves. All jobs must have ended. */
-    suspend fun leave() {
-        val heir = roster.reachableMember()
-        val claims = claims()
-        roster.send(RosterInput.Leave(heir))
-        if (heir != null) handOver(heir, claims)
-        withTimeoutOrNull(LEAVE_MILLIS) { awaitRemoval() }
-    }
-
-    private suspend fun claims(): List<HandedClaim> {
-        val reply = CompletableDeferred<List<HandedClaim>>()
-        home.send(HomeInput.HandOver(reply))
-        return reply.await()
-    }
+    private var heir: EntryMember? = null
 
-    private suspend fun handOver(
-        heir: EntryMember,
-        claims: List<HandedClaim>,
-    ) {
-        val parts = claims.chunked(CLAIMS_PER_MESSAGE)
+    /** Hands over to an heir. Where there is none, new jobs are refused from now on. */
+    suspend fun begin() {
+        val chosen = roster.reachableMember()
+        heir = chosen
+        if (chosen == null) {
+            home.send(HomeInput.StopClaiming)
+            return
+        }
+        signal.begin()
+        val claims = claims(chosen)
         val owners = roster.view.inherited + self.entry
-        val accepted = parts.all { send(heir, emptySet(), it) } && send(heir, owners, emptyList())
+        val parts = claims.running.chunked(CLAIMS_PER_MESSAGE).map { handover(emptyList(), it) } + parts(claims.ended)
+        val accepted = sendAll(chosen, parts + handover(emptyList(), emptyList(), owners))
+        if (accepted) roster.sendAndAwait(RosterInput.Leave(chosen))
+        signal.end()
         val event = if (accepted) EntryEvent.HANDED_OVER else EntryEvent.HANDOVER_FAILED
-        logger.event(event, "heir" to heir.entry, "claims" to claims.size)
+        logger.event(event, "heir" to chosen.entry, "claims" to claims.ended.size, "running" to claims.running.size)
     }
 
-    private suspend fun send(
-        heir: EntryMember,
-        owners: Set<ProcessId>,
-        part: List<HandedClaim>,
-    ): Boolean {
-        val reply = peers.call(heir, CALL_MILLIS) { request -> ClaimHandover(request, owners, part) }
-        return (reply as? HandoverReply)?.accepted == true
+    /** Gives the heir the claims of the jobs that have ended since, or leaves the last roster. */
+    suspend fun finish() {
+        when (val chosen = heir) {
+            null -> withTimeoutOrNull(LEAVE_MILLIS) { leaveAlone() }
+            else -> sendAll(chosen, parts(claims(chosen).ended))
+        }
     }
 
-    private suspend fun awaitRemoval() {
+    private suspend fun leaveAlone() {
+        roster.sendAndAwait(RosterInput.Leave(null))
         while (roster.view.isMember) delay(CHECK_MILLIS)
     }
 
+    private suspend fun claims(heir: EntryMember): ClaimsToHand {
+        val reply = CompletableDeferred<ClaimsToHand>()
+        home.send(HomeInput.HandOver(heir, reply))
+        return reply.await()
+    }
+
+    private fun parts(ended: List<HandedClaim>) = ended.chunked(CLAIMS_PER_MESSAGE).map { handover(it, emptyList()) }
+
+    private fun handover(
+        ended: List<HandedClaim>,
+        running: List<RunningJob>,
+        owners: Set<ProcessId> = emptySet(),
+    ): (Long) -> Message = { request -> ClaimHandover(request, self.entry, owners, ended, running) }
+
+    private suspend fun sendAll(
+        heir: EntryMember,
+        parts: List<(Long) -> Message>,
+    ): Boolean = parts.all { part -> (peers.call(heir, CALL_MILLIS, part) as? HandoverReply)?.accepted == true }
+
     private companion object {
         const val CLAIMS_PER_MESSAGE = 200
         const val CALL_MILLIS = 5_000L
--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/EntryProcess.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/EntryProcess.kt
@@ -57,15 +57,16 @@
     private val drain = Drain()
     private val metrics = EntryMetrics(registry)
     private val jobs = Home(ServiceDispatchers { service -> fairDispatcher(service) })
-    private val home = HomeTask(self.entry, jobs, metrics, ::monotonicMillis)
+    private val home = HomeTask(self, jobs, metrics, ::monotonicMillis)
     private val settingsKeeper = SettingsKeeper(::settingsChanged)
     private val settingsWatcher = SettingsWatcher(store, listener = SettingsWatchLog())
     private val exchange = PeerExchange(settingsKeeper, ::rosterInput)
     private val peers =
         PeerConnections(EntryHello(self.entry, self.address), exchange, selector, settings.timing, scope)
     private val roster = rosterTask()
-    private val router = JobRouter(roster, home, peers)
-    private val linkServer = LinkServer(self.entry, home, router, knowledge(), exchange, ::claimsInherited, scope)
+    private val handover = HandoverSignal()
+    private val router = JobRouter(roster, home, peers, handover)
+    private val linkServer = LinkServer(self.entry, home, router, knowledge(), exchange, roster, scope)
     private val callers = server { config -> JobRoutes(router, drain, metrics, scope).addTo(config) }
     private val operators =
         server { config ->
@@ -91,17 +92,15 @@
         logger.event(EntryEvent.STARTED, "entry" to self.entry, "failureDomain" to settings.failureDomain)
     }
 
-    /** Refuses new jobs, answers those in flight, then stops. */
+    /** Claims no new jobs, answers those in flight, then stops. */
     suspend fun stop() {
         drain.begin()
-        home.send(HomeInput.StopClaiming)
         logger.event(EntryEvent.DRAINING, "requests" to drain.requestsInFlight)
+        val departure = Departure(self, roster, home, peers, handover)
+        departure.begin()
         val drained = withTimeoutOrNull(settings.drainMillis) { awaitDrained() }
-        if (drained == null) {
-            logger.event(EntryEvent.DRAIN_TIMED_OUT, "requests" to drain.requestsInFlight)
-        } else {
-            Departure(self, roster, home, peers).leave()
-        }
+        if (drained == null) logger.event(EntryEvent.DRAIN_TIMED_OUT, "requests" to drain.requestsInFlight)
+        departure.finish()
         callers.stop()
         operators.stop()
         listener?.close()
@@ -116,7 +115,9 @@
         return json.encodeToString(EntryDump(self, ready, drain.requestsInFlight, roster.view, reply.await()))
     }
 
+    /** The balancer needs time to notice that `/ready` has changed; until then it sends requests. */
     private suspend fun awaitDrained() {
+        delay(settings.noticeMillis)
         while (drain.requestsInFlight > 0 || liveJobs() > 0) delay(DRAIN_CHECK_MILLIS)
     }
 
@@ -134,8 +135,6 @@
 
     private fun rosterInput(input: RosterInput) = roster.send(input)
 
-    private fun claimsInherited(owners: Set<ProcessId>) = roster.send(RosterInput.ClaimsInherited(owners))
-
     private fun rosterNetwork() =
         object : RosterNetwork {
             override fun tell(
--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/HomeInput.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/HomeInput.kt
@@ -11,11 +11,13 @@
 import io.egretlock.core.job.Verdict
 import io.egretlock.core.placement.EntryShare
 import io.egretlock.core.placement.UpstreamAnnouncement
+import io.egretlock.core.roster.EntryMember
 import io.egretlock.core.roster.Roster
 import io.egretlock.core.settings.StoredTeamSettings
 import io.egretlock.protocol.Link
 import io.egretlock.protocol.Message
 import io.egretlock.protocol.OutcomeReport
+import io.egretlock.protocol.RunningJob
 import io.egretlock.protocol.SettingsRevision
 import kotlinx.coroutines.CompletableDeferred
 
@@ -25,18 +27,20 @@
     data class Submit(
         val job: Job,
         val remainingMillis: Long,
-        val reply: CompletableDeferred<JobOutcome>,
+        val reply: CompletableDeferred<SubmitReply>,
         val unlessKnown: Verdict? = null,
     ) : HomeInput
 
-    /** Claim no more jobs; [reply] gets all claims, for an heir. */
+    /** Claim no more jobs, since [heir] does from now on; [reply] gets all claims for it. */
     data class HandOver(
-        val reply: CompletableDeferred<List<HandedClaim>>,
+        val heir: EntryMember,
+        val reply: CompletableDeferred<ClaimsToHand>,
     ) : Membership
 
-    /** Answer for [claims] from now on; [reply] is completed once they are recorded. */
+    /** Answer for [claims] and [running] jobs from now on; [reply] tells whether that is possible. */
     data class Inherit(
         val claims: List<HandedClaim>,
+        val running: List<RunningJob>,
         val reply: CompletableDeferred<Boolean>,
     ) : Membership
 
@@ -109,3 +113,22 @@
         val reply: CompletableDeferred<HomeDump>,
     ) : HomeInput
 }
+
+/** Answer of a [HomeTask] to a submission. */
+internal sealed interface SubmitReply {
+    /** The job ended. */
+    data class Ended(
+        val outcome: JobOutcome,
+    ) : SubmitReply
+
+    /** [member] has the job or, if nobody has, may claim it. */
+    data class Moved(
+        val member: EntryMember,
+    ) : SubmitReply
+}
+
+/** All claims of a home, for its heir. */
+internal data class ClaimsToHand(
+    val ended: List<HandedClaim>,
+    val running: List<RunningJob>,
+)
--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/JobRouter.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/JobRouter.kt
@@ -24,6 +24,7 @@
     private val locator: JobLocator,
     private val home: HomeTask,
     private val peers: PeerConnections,
+    private val handover: HandoverSignal = HandoverSignal(),
 ) {
     /** Submits or joins [job] and waits for its outcome. */
     suspend fun submit(
@@ -55,9 +56,12 @@
         remainingMillis: Long,
         unlessKnown: Verdict? = null,
     ): JobOutcome {
-        val reply = CompletableDeferred<JobOutcome>()
+        val reply = CompletableDeferred<SubmitReply>()
         home.send(HomeInput.Submit(job, remainingMillis, reply, unlessKnown))
-        return reply.await()
+        return when (val answer = reply.await()) {
+            is SubmitReply.Ended -> answer.outcome
+            is SubmitReply.Moved -> submitMoved(answer.member, job, remainingMillis)
+        }
     }
 
     /** Cancels a job; null if its home does not know it. */
@@ -125,6 +129,16 @@
     ): OutcomeReport? =
         (peers.call(member, CALL_MILLIS) { request -> OutcomesRequest(request, team) } as? OutcomesReply)?.report
 
+    /** An heir can claim jobs once it has all claims, which takes no longer than a call. */
+    private suspend fun submitMoved(
+        member: EntryMember,
+        job: Job,
+        remainingMillis: Long,
+    ): JobOutcome {
+        handover.await()
+        return submitElsewhere(member, job, remainingMillis)
+    }
+
     private suspend fun submitElsewhere(
         member: EntryMember,
         job: Job,
--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/LinkServer.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/LinkServer.kt
@@ -32,7 +32,7 @@
     private val router: JobRouter,
     private val knowledge: SharedKnowledge,
     private val exchange: PeerExchange,
-    private val inherited: (Set<ProcessId>) -> Unit,
+    private val roster: RosterTask,
     private val scope: CoroutineScope,
 ) {
     /** Serves one connection until it ends. */
@@ -93,9 +93,9 @@
 
     private suspend fun inherit(handover: ClaimHandover): Boolean {
         val reply = CompletableDeferred<Boolean>()
-        home.send(HomeInput.Inherit(handover.claims, reply))
+        home.send(HomeInput.Inherit(handover.claims, handover.running, reply))
         val accepted = reply.await()
-        if (accepted && handover.owners.isNotEmpty()) inherited(handover.owners)
+        if (accepted && handover.owners.isNotEmpty()) roster.inherit(handover.owners, handover.sender)
         return accepted
     }
 
--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/RosterTask.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/RosterTask.kt
@@ -3,6 +3,7 @@
 import io.egretlock.core.job.JobId
 import io.egretlock.core.job.ProcessId
 import io.egretlock.core.roster.EntryMember
+import io.egretlock.core.roster.Handover
 import io.egretlock.core.roster.Roster
 import io.egretlock.core.roster.RosterHistory
 import io.egretlock.core.roster.RosterInput
@@ -16,6 +17,7 @@
 import io.egretlock.protocol.PromiseReply
 import io.egretlock.protocol.PromiseRequest
 import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.delay
@@ -38,7 +40,7 @@
     private val nowMillis: () -> Long,
 ) : JobLocator {
     private val reachable = ConcurrentHashMap.newKeySet<ProcessId>()
-    private val inputs = Channel<RosterInput>(Channel.UNLIMITED)
+    private val inputs = Channel<Command>(Channel.UNLIMITED)
 
     /** What is known now. */
     @Volatile
@@ -74,16 +76,30 @@
 
     /** Queues an input. */
     fun send(input: RosterInput) {
-        inputs.trySend(input)
+        inputs.trySend(Command(input, null))
+    }
+
+    /** This entry has all claims of [owners], of which [leaver] leaves now. Returns once that is in force here. */
+    suspend fun inherit(
+        owners: Set<ProcessId>,
+        leaver: ProcessId,
+    ) = sendAndAwait(RosterInput.ClaimsInherited(owners, Handover(leaver, self)))
+
+    /** Queues an input and waits until it is in force. */
+    suspend fun sendAndAwait(input: RosterInput) {
+        val done = CompletableDeferred<Unit>()
+        inputs.trySend(Command(input, done))
+        done.await()
     }
 
     /** Handles inputs until cancelled. */
     suspend fun run() {
         scope.launch { tick() }
-        for (input in inputs) {
+        for ((input, done) in inputs) {
             noteReachability(input)
             val outputs = keeper.accept(input, nowMillis())
             view = keeper.view
+            done?.complete(Unit)
             outputs.forEach(::carryOut)
             if (input is RosterInput.PeerReachable) greet(input)
         }
@@ -144,6 +160,11 @@
         otherMembers.firstOrNull { it.entry == input.entry }?.let { network.tell(it, HistoryUpdate(history)) }
     }
 
+    private data class Command(
+        val input: RosterInput,
+        val done: CompletableDeferred<Unit>?,
+    )
+
     private companion object {
         const val TICK_MILLIS = 100L
         const val CONNECTED_ROSTERS = 2
--- a/egretlock-protocol/src/main/kotlin/io/egretlock/protocol/RosterMessages.kt
+++ b/egretlock-protocol/src/main/kotlin/io/egretlock/protocol/RosterMessages.kt
@@ -1,6 +1,7 @@
 package io.egretlock.protocol
 
 import io.egretlock.core.claim.HandedClaim
+import io.egretlock.core.job.JobId
 import io.egretlock.core.job.ProcessId
 import io.egretlock.core.roster.EntryMember
 import io.egretlock.core.roster.PromiseQuestion
@@ -40,16 +41,26 @@
 /**
  * Entry that leaves to its heir: claims that the heir answers for from now on. Answered by [HandoverReply].
  *
+ * @property running jobs that have not ended, each at the entry that will answer for it until then.
  * @property owners the sender and the entries that it had inherited from; empty in all parts but the last.
  */
 @Serializable
 @SerialName("claim-handover")
 data class ClaimHandover(
     val request: Long,
+    val sender: ProcessId,
     val owners: Set<ProcessId>,
     val claims: List<HandedClaim>,
+    val running: List<RunningJob>,
 ) : Message
 
+/** A job that has not ended, at [holder]. */
+@Serializable
+data class RunningJob(
+    val job: JobId,
+    val holder: EntryMember,
+)
+
 /** Heir to the entry that leaves: this part of the claims is recorded, or refused because the heir is leaving too. */
 @Serializable
 @SerialName("handover-reply")
