--- /dev/null
+++ b/egretlock-entry/src/test/kotlin/io/egretlock/entry/ClaimCustodyTest.kt
@@ -0,0 +1,48 @@
+package io.egretlock.entry
+
+import io.egretlock.core.job.JobId
+import io.egretlock.core.job.ProcessId
+import io.egretlock.core.roster.EntryMember
+import io.egretlock.core.roster.NodeAddress
+import io.egretlock.protocol.RunningJob
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertNull
+import org.junit.jupiter.api.Test
+
+class ClaimCustodyTest {
+    private val self = member("self")
+    private val leaver = member("leaver")
+    private val job = JobId("job-1")
+    private val custody = ClaimCustody(self)
+
+    @Test
+    fun `given no handover, when asked for a job's holder, then this entry may claim it`() {
+        assertNull(custody.holderOf(job))
+    }
+
+    @Test
+    fun `given a running job of a leaver, when asked for its holder, then it is the leaver until the job ended`() {
+        custody.inherit(listOf(RunningJob(job, leaver)))
+        assertEquals(leaver, custody.holderOf(job))
+        custody.ended(listOf(job))
+        assertNull(custody.holderOf(job))
+    }
+
+    @Test
+    fun `given an heir, when another is named, then the first one stays`() {
+        custody.handOver(leaver)
+        custody.handOver(member("third"))
+        assertEquals(leaver, custody.holderOf(job))
+    }
+
+    @Test
+    fun `given own and inherited running jobs, when handed on, then each has its holder`() {
+        custody.inherit(listOf(RunningJob(job, leaver)))
+        assertEquals(
+            listOf(RunningJob(JobId("own"), self), RunningJob(job, leaver)),
+            custody.runningJobs(listOf(JobId("own"))),
+        )
+    }
+
+    private fun member(name: String) = EntryMember(ProcessId(name, 1), NodeAddress("127.0.0.1", 7000))
+}
--- /dev/null
+++ b/egretlock-entry/src/test/kotlin/io/egretlock/entry/JobLocationsTest.kt
@@ -0,0 +1,45 @@
+package io.egretlock.entry
+
+import io.egretlock.core.job.ProcessId
+import io.egretlock.core.job.Reason
+import io.egretlock.core.job.Verdict
+import io.egretlock.core.roster.EntryMember
+import io.egretlock.core.roster.JobHome
+import io.egretlock.core.roster.NodeAddress
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Test
+
+class JobLocationsTest {
+    @Test
+    fun `given another home, when located, then the request goes there`() {
+        val member = EntryMember(ProcessId("entry-2", 1), NodeAddress("127.0.0.1", 7000))
+        assertEquals(JobLocation.Elsewhere(member), JobLocations.of(JobHome.At(member), nowMillis = 0))
+    }
+
+    @Test
+    fun `given a lost home, when located, then an unknown job may have run and the next home is told`() {
+        val detail = "Entry 'entry-2@1', the home of the job, is gone. Jobs created in 700 ms have another home."
+        assertEquals(
+            JobLocation.HereIfKnown(Verdict.MayHaveRun(Reason.HOME_LOST, detail)),
+            JobLocations.of(JobHome.Lost(ProcessId("entry-2", 1), retryAtMillis = 1_700), nowMillis = 1_000),
+        )
+    }
+
+    @Test
+    fun `given a home without confirmation, when located, then an unknown job may have run`() {
+        val detail = "The entry cannot confirm now that it is the only home of the job."
+        assertEquals(
+            JobLocation.HereIfKnown(Verdict.MayHaveRun(Reason.NO_AUTHORITY, detail)),
+            JobLocations.of(JobHome.HereUnconfirmed, nowMillis = 0),
+        )
+    }
+
+    @Test
+    fun `given a job from the future, when located, then it is refused as not run`() {
+        val detail = "The job's creation time is ahead of this entry's clock."
+        assertEquals(
+            JobLocation.Nowhere(Verdict.NotRun(Reason.CREATION_TIME, detail)),
+            JobLocations.of(JobHome.FromTheFuture, nowMillis = 0),
+        )
+    }
+}
--- a/model/Claim.tla
+++ b/model/Claim.tla
@@ -59,14 +59,13 @@
 
 NoFlight == [base |-> 0]
 Clock(e) == now + skew[e]
-Rank(members) == CHOOSE e \in members : \A other \in members : e <= other
+Rank(members) == IF members = {} THEN 0 ELSE CHOOSE e \in members : \A other \in members : e <= other
 
 InForce(count) == CHOOSE i \in 1..count :
     store[i].inForce /\ \A j \in (i + 1)..count : ~store[j].inForce
 HomeAt(i) == Rank(store[i].members)
 Home(count) == HomeAt(InForce(count))
 
-\* Members that hold ids for which a planned stop of all left nobody.
 Newest(e) == store[view[e]].members
 
 \* A member owns what it gained only after every older view has run out.
@@ -119,13 +118,13 @@
         /\ flight' = [flight EXCEPT ![e] =
                [base |-> view[e], members |-> members, inForce |-> inForce, hold |-> hold]]
 
-\* A member publishes a successor that adds or removes one entry.
+\* A member publishes a successor that adds or removes one entry; the last one may leave nobody.
 Publish(e) ==
     /\ alive[e] /\ view[e] \in 1..(MaxRosters - 1) /\ e \in Newest(e)
     /\ flight[e] = NoFlight /\ ~unsettled[e] /\ view[e] = Len(store)
     /\ \E changed \in Entries :
         LET members == IF changed \in Newest(e) THEN Newest(e) \ {changed} ELSE Newest(e) \union {changed}
-        IN members # {} /\ Send(e, members, Window)
+        IN Send(e, members, Window)
     /\ unsettled' = [unsettled EXCEPT ![e] = "promise" \in Features]
     /\ UNCHANGED <<now, created, skew, store, view, horizon, gain, promisers, asked, inLimit, alive, leaving,
                    handovers, heirOf, knows, settlers>>
