--- a/egretlock-agent/src/main/kotlin/io/egretlock/agent/Agent.kt
+++ b/egretlock-agent/src/main/kotlin/io/egretlock/agent/Agent.kt
@@ -105,7 +105,7 @@
         }
         logger.event(AgentEvent.ENTRY_CONNECTED, "entry" to connection.entry, "address" to connection.address)
         connections.put(connection)?.link?.close()
-        ledger.disconnected(connection.entry)
+        connections.send(ledger.disconnected(connection.entry))
         welcome(command)
         return true
     }
--- a/egretlock-protocol/src/main/kotlin/io/egretlock/protocol/Link.kt
+++ b/egretlock-protocol/src/main/kotlin/io/egretlock/protocol/Link.kt
@@ -16,11 +16,13 @@
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
+import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.channels.ClosedSendChannelException
 import kotlinx.coroutines.channels.ReceiveChannel
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.plus
 import kotlinx.coroutines.withTimeout
 import java.io.IOException
 import java.util.concurrent.atomic.AtomicLong
@@ -59,7 +61,7 @@
     private val received = Channel<Message>(Channel.UNLIMITED)
     private val lastHeardNanos = AtomicLong(System.nanoTime())
     private val lastReplyNanos = AtomicLong(System.nanoTime())
-    private val tasks: List<Job>
+    private val lifetime = SupervisorJob(scope.coroutineContext[Job])
 
     /** Messages of the other end, without heartbeats. */
     val incoming: ReceiveChannel<Message> = received
@@ -67,12 +69,10 @@
     init {
         val reader = socket.openReadChannel()
         val writer = socket.openWriteChannel()
-        tasks =
-            listOf(
-                scope.launch { endingWithConnection { read(reader) } },
-                scope.launch { endingWithConnection { write(writer) } },
-                scope.launch { endingWithConnection { watch() } },
-            )
+        val owner = scope + lifetime
+        owner.launch { endingWithConnection { read(reader) } }
+        owner.launch { endingWithConnection { write(writer) } }
+        owner.launch { endingWithConnection { watch() } }
     }
 
     /** Queues a message. Returns false once the connection has ended; a true does not mean that it arrived. */
@@ -83,7 +83,7 @@
         outgoing.close()
         received.close()
         socket.close()
-        tasks.forEach { it.cancel() }
+        lifetime.cancel()
     }
 
     private suspend fun endingWithConnection(body: suspend () -> Unit) {
--- /dev/null
+++ b/egretlock-testing/src/test/kotlin/io/egretlock/testing/proof/LinkFaultTest.kt
@@ -0,0 +1,107 @@
+package io.egretlock.testing.proof
+
+import io.egretlock.testing.link.LinkDirection
+import io.egretlock.testing.system.ProcessSignal
+import io.egretlock.testing.upstream.UpstreamMode
+import org.junit.jupiter.api.AfterAll
+import org.junit.jupiter.api.BeforeAll
+import org.junit.jupiter.api.Test
+import org.junit.jupiter.params.ParameterizedTest
+import org.junit.jupiter.params.provider.EnumSource
+
+/** Open connections between processes go silent or end, while new ones work; alone and together with other faults. */
+class LinkFaultTest {
+    @ParameterizedTest(name = "{0}")
+    @EnumSource(Moment::class)
+    fun `given jobs in flight, when open connections go silent both ways, then every promise is kept`(moment: Moment) =
+        silence(moment, LinkDirection.entries.toSet())
+
+    @ParameterizedTest(name = "{0}")
+    @EnumSource(Moment::class)
+    fun `given jobs in flight, when open connections go silent to entries, then every promise is kept`(moment: Moment) =
+        silence(moment, setOf(LinkDirection.TO_SERVER))
+
+    @ParameterizedTest(
+        name = "given jobs {0}, when open connections go silent from entries, then every promise is kept",
+    )
+    @EnumSource(Moment::class)
+    fun `given jobs in flight, when open connections go silent from entries, then every promise is kept`(
+        moment: Moment,
+    ) = silence(moment, setOf(LinkDirection.TO_CLIENT))
+
+    @ParameterizedTest(name = "{0}")
+    @EnumSource(Moment::class)
+    fun `given jobs in flight, when open connections are cut, then every promise is kept`(moment: Moment) {
+        faulty.bringTo(moment)
+        faulty.system.entries.forEach { it.link?.cut() }
+        faulty.resubmit(faulty.otherEntry)
+        faulty.assertServes()
+        faulty.assertPromisesKept()
+    }
+
+    @Test
+    fun `given started jobs, when connections go silent and an agent is killed, then every promise is kept`() {
+        faulty.bringTo(Moment.STARTED)
+        faulty.system.entries.forEach { it.link?.silence() }
+        faulty.agent.process.signal(ProcessSignal.KILL)
+        faulty.resubmit(faulty.otherEntry)
+        faulty.agent.start()
+        faulty.assertServes()
+        faulty.assertPromisesKept()
+    }
+
+    @Test
+    fun `given queued jobs, when an entry is killed and the other is paused, then every promise is kept`() {
+        faulty.bringTo(Moment.QUEUED)
+        faulty.entry.process.signal(ProcessSignal.KILL)
+        faulty.otherEntry.process.signal(ProcessSignal.STOP)
+        faulty.entry.process.awaitExit()
+        faulty.entry.start()
+        faulty.otherEntry.process.signal(ProcessSignal.CONT)
+        faulty.resubmit(faulty.otherEntry)
+        faulty.assertServes()
+        faulty.resubmit(faulty.entry)
+        faulty.assertPromisesKept()
+    }
+
+    @Test
+    fun `given hanging upstreams, when an agent is killed twice, then every promise is kept`() {
+        faulty.system.agents.forEach { it.upstream.changeMode(UpstreamMode.HANG) }
+        faulty.bringTo(Moment.STARTED)
+        repeat(2) {
+            faulty.agent.process.signal(ProcessSignal.KILL)
+            faulty.agent.process.awaitExit()
+            faulty.agent.start()
+        }
+        faulty.system.agents.forEach { it.upstream.changeMode(UpstreamMode.NORMAL) }
+        faulty.resubmit(faulty.otherEntry)
+        faulty.assertPromisesKept()
+        faulty.assertServes()
+    }
+
+    private fun silence(
+        moment: Moment,
+        directions: Set<LinkDirection>,
+    ) {
+        faulty.bringTo(moment)
+        faulty.system.entries.forEach { it.link?.silence(directions) }
+        faulty.resubmit(faulty.otherEntry)
+        faulty.submitAll(jobs = 2, tasks = 2, runMillis = 50)
+        faulty.assertServes()
+        faulty.assertPromisesKept()
+    }
+
+    private companion object {
+        private lateinit var faulty: FaultySystem
+
+        @JvmStatic
+        @BeforeAll
+        fun start() {
+            faulty = FaultySystem()
+        }
+
+        @JvmStatic
+        @AfterAll
+        fun stop() = faulty.close()
+    }
+}
