Join the roster only with settings in force

Cause: an entry read its roster and its settings at the same time and was ready, and a home for others' forwarded jobs, before it knew any settings; it then refused accepted teams' jobs as unknown. EntryProcessTest failed first: with settings not read yet the entry had written the roster twice and was ready. Ruled out: only withholding readiness (other entries forward jobs to whoever is in the roster). Change: the entry joins once the store was read whole, or another process told it settings.

--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/EntryProcess.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/EntryProcess.kt
@@ -54,7 +54,7 @@
     private val jobs = Home(ServiceDispatchers { service -> fairDispatcher(service) })
     private val home = HomeTask(self.entry, jobs, metrics, ::monotonicMillis)
     private val settingsKeeper = SettingsKeeper(::settingsChanged)
-    private val settingsWatcher = SettingsWatcher(store, listener = SettingsWatchLog())
+    private val settingsWatcher = SettingsWatcher(store, listener = SettingsWatchLog(settingsKeeper))
     private val peers =
         PeerConnections(EntryHello(self.entry, self.address), settingsKeeper, selector, settings.timing, scope)
     private val storeReader = StoreReader(store, self, ::rosterAdopted)
@@ -76,7 +76,7 @@
     suspend fun start() {
         metrics.observeLiveJobs { jobs.liveJobs }
         scope.launch { home.run() }
-        scope.launch { storeReader.run() }
+        scope.launch { joinOnceInformed() }
         scope.launch { settingsKeeper.run(settingsWatcher.updates()) }
         scope.launch { tick() }
         listener = LinkListener.bind(settings.linkAddress, selector, scope, settings.timing, linkServer::serve)
@@ -123,6 +123,12 @@
         if (position >= 0) home.send(HomeInput.EntriesChanged(EntryShare(position, roster.members.size)))
     }
 
+    /** Other entries forward jobs as soon as this one is in the roster, so it joins with settings in force. */
+    private suspend fun joinOnceInformed() {
+        settingsKeeper.awaitInformed()
+        storeReader.run()
+    }
+
     private fun settingsChanged(applied: List<StoredTeamSettings>) {
         applied.forEach { home.send(HomeInput.Settings(it)) }
         otherMembers().forEach { peers.tell(it, SettingsUpdate(applied)) }
--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/SettingsKeeper.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/SettingsKeeper.kt
@@ -6,6 +6,7 @@
 import io.egretlock.platform.settings.SettingsWatcherListener
 import io.egretlock.process.event
 import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.flow.Flow
 
 private val logger = KotlinLogging.logger {}
@@ -22,19 +23,38 @@
     /** The settings in force. */
     val table = SettingsTable()
 
+    private val informed = CompletableDeferred<Unit>()
+
+    /**
+     * Waits until settings are known: from the store, even if it has none, or from another process. An entry that took
+     * jobs before that would refuse them for want of settings.
+     */
+    suspend fun awaitInformed() = informed.await()
+
+    /** The store was read whole. */
+    fun storeRead() {
+        informed.complete(Unit)
+    }
+
     /** Takes [updates] of the store until cancelled. */
     suspend fun run(updates: Flow<StoredTeamSettings>) = updates.collect { learned(listOf(it)) }
 
     /** Applies those of [offered] that are newer than what is in force. */
     fun learned(offered: List<StoredTeamSettings>) {
         val applied = table.apply(offered)
+        if (offered.isNotEmpty()) informed.complete(Unit)
         if (applied.isNotEmpty()) changed(applied)
     }
 }
 
-/** Logs what the watch of the store's settings meets. */
-internal class SettingsWatchLog : SettingsWatcherListener {
-    override fun established(revision: Long) = logger.event(EntryEvent.SETTINGS_WATCHED, "revision" to revision)
+/** Logs what the watch of the store's settings meets, and tells [keeper] when the store was read whole. */
+internal class SettingsWatchLog(
+    private val keeper: SettingsKeeper,
+) : SettingsWatcherListener {
+    override fun established(revision: Long) {
+        keeper.storeRead()
+        logger.event(EntryEvent.SETTINGS_WATCHED, "revision" to revision)
+    }
 
     override fun interrupted(cause: StoreException) =
         logger.event(EntryEvent.SETTINGS_WATCH_INTERRUPTED, "cause" to cause.message)
--- /dev/null
+++ b/egretlock-entry/src/test/kotlin/io/egretlock/entry/EntryProcessTest.kt
@@ -0,0 +1,99 @@
+package io.egretlock.entry
+
+import io.egretlock.core.job.FailureDomain
+import io.egretlock.core.roster.NodeAddress
+import io.egretlock.platform.KeyValueStore
+import io.egretlock.platform.StoreEntry
+import io.egretlock.platform.StoreSnapshot
+import io.egretlock.platform.SwapResult
+import io.egretlock.process.LogFormat
+import io.egretlock.protocol.LinkTiming
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.awaitCancellation
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.flow.Flow
+import kotlinx.coroutines.flow.flow
+import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withTimeout
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Test
+import java.net.InetAddress
+import java.net.ServerSocket
+import java.util.concurrent.atomic.AtomicInteger
+
+class EntryProcessTest {
+    private val store = GatedStore()
+
+    @Test
+    fun `given settings that are not read yet, when an entry starts, then it joins the roster only after them`() =
+        runBlocking {
+            val process = EntryProcess(settings(), store)
+            process.start()
+            withTimeout(DEADLINE_MILLIS) { store.settingsAsked.await() }
+            delay(SETTLE_MILLIS)
+            assertEquals(listOf(0, false), listOf(store.rosterWrites.get(), process.ready))
+            store.settingsOpen.complete(Unit)
+            withTimeout(DEADLINE_MILLIS) { while (!process.ready) delay(POLL_MILLIS) }
+            process.stop()
+        }
+
+    private fun settings() =
+        EntrySettings(
+            name = "entry-1",
+            failureDomain = FailureDomain("marka"),
+            callersAddress = freeAddress(),
+            operatorsAddress = freeAddress(),
+            linkAddress = freeAddress(),
+            advertisedLinkAddress = freeAddress(),
+            storeAddresses = listOf(freeAddress()),
+            operatorToken = null,
+            teamTokens = TeamTokens(emptyMap()),
+            timing = LinkTiming(),
+            noticeMillis = 0,
+            drainMillis = 1_000,
+            logFormat = LogFormat.TEXT,
+        )
+
+    private fun freeAddress(): NodeAddress {
+        val port = ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { it.localPort }
+        return NodeAddress("127.0.0.1", port)
+    }
+
+    /** An empty store that answers reads of settings only once [settingsOpen] is complete. */
+    private class GatedStore : KeyValueStore {
+        val settingsAsked = CompletableDeferred<Unit>()
+        val settingsOpen = CompletableDeferred<Unit>()
+        val rosterWrites = AtomicInteger()
+
+        override suspend fun read(
+            prefix: String,
+            changedAfter: Long,
+        ): StoreSnapshot {
+            if (prefix.startsWith("/egretlock/settings/")) {
+                settingsAsked.complete(Unit)
+                settingsOpen.await()
+            }
+            return StoreSnapshot(emptyList(), revision = 1)
+        }
+
+        override suspend fun compareAndSwap(
+            key: String,
+            expectedRevision: Long,
+            value: String,
+        ): SwapResult {
+            rosterWrites.incrementAndGet()
+            return SwapResult.Stored(2)
+        }
+
+        override fun watch(
+            prefix: String,
+            revision: Long,
+        ): Flow<StoreEntry> = flow { awaitCancellation() }
+    }
+
+    private companion object {
+        const val DEADLINE_MILLIS = 20_000L
+        const val SETTLE_MILLIS = 300L
+        const val POLL_MILLIS = 10L
+    }
+}
