--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/EntryProcess.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/EntryProcess.kt
@@ -62,7 +62,7 @@
     private val jobs = Home(ServiceDispatchers { service -> fairDispatcher(service) })
     private val home = HomeTask(self, jobs, metrics, ::monotonicMillis)
     private val settingsKeeper = SettingsKeeper(::settingsChanged)
-    private val settingsWatcher = SettingsWatcher(store, listener = SettingsWatchLog())
+    private val settingsWatcher = SettingsWatcher(store, listener = SettingsWatchLog(settingsKeeper))
     private val exchange = PeerExchange(settingsKeeper, ::rosterInput)
     private val peers =
         PeerConnections(EntryHello(self.entry, self.address), exchange, selector, settings.timing, scope)
@@ -85,7 +85,7 @@
     override suspend fun start() {
         metrics.observeLiveJobs { jobs.liveJobs }
         scope.launchEssential(logger, EntryEvent.TASK_FAILED) { home.run() }
-        scope.launchEssential(logger, EntryEvent.TASK_FAILED) { roster.run() }
+        scope.launchEssential(logger, EntryEvent.TASK_FAILED) { joinOnceInformed() }
         scope.launch { settingsKeeper.run(settingsWatcher.updates()) }
         scope.launch { tick() }
         listener = LinkListener.bind(settings.linkAddress, selector, scope, settings.timing, linkServer::serve)
@@ -154,6 +154,12 @@
         if (position >= 0) home.send(HomeInput.EntriesChanged(EntryShare(position, newest.members.size)))
     }
 
+    /** Other entries forward jobs as soon as this one is in the roster, so it joins with settings in force. */
+    private suspend fun joinOnceInformed() {
+        settingsKeeper.awaitInformed()
+        roster.run()
+    }
+
     private fun settingsChanged(applied: List<StoredTeamSettings>) {
         applied.forEach { home.send(HomeInput.Settings(it)) }
         roster.otherMembers.forEach { peers.tell(it, SettingsUpdate(applied)) }
