Use the latest connection of an entry that has two addresses

Cause: an entry uses the latest connection of an agent and closes the earlier one, while the agent kept the earlier one and closed the latest: dialled under two addresses (a seed and the roster's), an entry lost its connection every 5 s. Ruled out: telling addresses apart by name (a proxy or balancer may stand between). Change: the latest connection wins on both sides; the dialler of the other address rests while the entry is connected.

--- a/egretlock-agent/src/main/kotlin/io/egretlock/agent/Agent.kt
+++ b/egretlock-agent/src/main/kotlin/io/egretlock/agent/Agent.kt
@@ -73,8 +73,8 @@
 
     private fun handle(command: AgentCommand) {
         when (command) {
-            is HelloRequested -> command.reply.complete(hello(command.address))
-            is EntryConnected -> command.accepted.complete(connected(command))
+            is DialRequested -> command.reply.complete(permissionToDial(command.address))
+            is EntryConnected -> connected(command)
             is EntryMessage -> if (connections.isCurrent(command.connection)) receive(command)
             is EntryDisconnected -> disconnected(command.connection)
             is UpstreamAnnounced -> command.accepted.complete(announced(command.announcement))
@@ -88,29 +88,36 @@
         }
     }
 
-    private fun hello(address: NodeAddress): AgentHello? {
-        if (address !in wantedAddresses()) return null
-        return AgentHello(id, settings.failureDomain, upstream.told, settingsReplica.revisions)
-    }
+    private fun permissionToDial(address: NodeAddress): DialPermission =
+        when {
+            address !in wantedAddresses() -> DialPermission.Stop
+            connections.isConnectedElsewhere(address) -> DialPermission.Wait
+            else -> DialPermission.Dial(hello())
+        }
+
+    private fun hello() = AgentHello(id, settings.failureDomain, upstream.told, settingsReplica.revisions)
 
     private fun wantedAddresses(): Set<NodeAddress> =
         settings.entries.toSet() + rosters.flatMap { roster -> roster.members.map { it.address } }
 
-    private fun connected(command: EntryConnected): Boolean {
+    private fun connected(command: EntryConnected) {
         val connection = command.connection
-        val present = connections[connection.entry]
-        if (present != null && present.address != connection.address) {
-            logger.event(AgentEvent.ENTRY_REDUNDANT, "entry" to connection.entry, "address" to connection.address)
-            return false
-        }
         logger.event(AgentEvent.ENTRY_CONNECTED, "entry" to connection.entry, "address" to connection.address)
-        connections.put(connection)?.link?.close()
+        connections.put(connection)?.let { replaced(it, connection) }
+        welcomed(command)
+    }
+
+    private fun replaced(
+        earlier: EntryConnection,
+        connection: EntryConnection,
+    ) {
+        earlier.link.close()
         ledger.disconnected(connection.entry)
-        welcome(command)
-        return true
+        if (earlier.address == connection.address) return
+        logger.event(AgentEvent.ENTRY_REDUNDANT, "entry" to earlier.entry, "address" to earlier.address)
     }
 
-    private fun welcome(command: EntryConnected) {
+    private fun welcomed(command: EntryConnected) {
         val entry = command.connection.entry
         if (command.hello.announcement != upstream.told) connections.send(entry, UpstreamUpdate(upstream.told))
         learnRosters(command.welcome.rosters)
@@ -149,6 +156,7 @@
         val newest = told.maxOfOrNull { it.version } ?: return
         if (newest < (rosters.maxOfOrNull { it.version } ?: 0)) return
         rosters = told
+        connections.retainAddresses(wantedAddresses())
         wantedAddresses().forEach(dial)
     }
 
--- a/egretlock-agent/src/main/kotlin/io/egretlock/agent/AgentCommand.kt
+++ b/egretlock-agent/src/main/kotlin/io/egretlock/agent/AgentCommand.kt
@@ -11,18 +11,17 @@
 /** What other coroutines and threads tell the [Agent], which alone owns the agent's state. */
 internal sealed interface AgentCommand
 
-/** A dialler of [address] needs a hello; answered with null if the address is not to be dialled any more. */
-internal data class HelloRequested(
+/** A dialler is about to dial [address]. */
+internal data class DialRequested(
     val address: NodeAddress,
-    val reply: CompletableDeferred<AgentHello?>,
+    val reply: CompletableDeferred<DialPermission>,
 ) : AgentCommand
 
-/** An entry welcomed a connection; [accepted] tells the dialler whether it is used. */
+/** An entry welcomed a connection after [hello]; it replaces any earlier connection of the entry. */
 internal data class EntryConnected(
     val connection: EntryConnection,
     val hello: AgentHello,
     val welcome: Welcome,
-    val accepted: CompletableDeferred<Boolean>,
 ) : AgentCommand
 
 /** An entry sent a message. */
--- a/egretlock-agent/src/main/kotlin/io/egretlock/agent/AgentEvent.kt
+++ b/egretlock-agent/src/main/kotlin/io/egretlock/agent/AgentEvent.kt
@@ -21,7 +21,7 @@
     ANNOUNCEMENT_REJECTED(number = 2105, Level.WARN, "Announcement of an upstream rejected."),
     ENTRY_CONNECTED(number = 2200, Level.INFO, "Connected to an entry."),
     ENTRY_DISCONNECTED(number = 2201, Level.WARN, "Connection to an entry ended."),
-    ENTRY_REDUNDANT(number = 2202, Level.INFO, "Entry is connected under another address already."),
+    ENTRY_REDUNDANT(number = 2202, Level.INFO, "Entry is connected under another address too: this one rests."),
     ENTRY_IN_DOUBT(number = 2203, Level.WARN, "Entry is silent: a second connection is dialled."),
     DUPLICATE_START(number = 2300, Level.WARN, "Start of a task that was started before: ignored."),
     START_REFUSED(number = 2301, Level.DEBUG, "Start refused."),
--- a/egretlock-agent/src/main/kotlin/io/egretlock/agent/EntryConnections.kt
+++ b/egretlock-agent/src/main/kotlin/io/egretlock/agent/EntryConnections.kt
@@ -2,6 +2,7 @@
 
 import io.egretlock.core.gate.CreditAction
 import io.egretlock.core.job.ProcessId
+import io.egretlock.core.roster.NodeAddress
 import io.egretlock.protocol.CreditGrant
 import io.egretlock.protocol.CreditRecall
 import io.egretlock.protocol.Message
@@ -9,6 +10,7 @@
 /** The connection in use for each entry. Confined to the [Agent]. */
 internal class EntryConnections {
     private val byEntry = LinkedHashMap<ProcessId, EntryConnection>()
+    private val lastSeenAt = HashMap<NodeAddress, ProcessId>()
 
     /** All connections in use. */
     val all: List<EntryConnection>
@@ -20,8 +22,22 @@
     /** Whether [connection] is the one in use for its entry. */
     fun isCurrent(connection: EntryConnection): Boolean = byEntry[connection.entry] === connection
 
+    /** Whether the entry that last answered at [address] is connected under another address. */
+    fun isConnectedElsewhere(address: NodeAddress): Boolean {
+        val connection = lastSeenAt[address]?.let { byEntry[it] }
+        return connection != null && connection.address != address
+    }
+
     /** Puts [connection] in use and returns the one that it replaces. */
-    fun put(connection: EntryConnection): EntryConnection? = byEntry.put(connection.entry, connection)
+    fun put(connection: EntryConnection): EntryConnection? {
+        lastSeenAt[connection.address] = connection.entry
+        return byEntry.put(connection.entry, connection)
+    }
+
+    /** Forgets who was seen at addresses other than [addresses]. */
+    fun retainAddresses(addresses: Set<NodeAddress>) {
+        lastSeenAt.keys.retainAll(addresses)
+    }
 
     /** Takes the connection of [entry] out of use. */
     fun remove(entry: ProcessId) {
