End the agent's process on a fault of its own

Cause: an exception in the coroutine that owns the agent's state, or in a dialler, would have left a process that lives and does nothing; an entry address without a known host caused one ('given an address whose host is unknown' failed with UnresolvedAddressException). Ruled out: restarting the coroutine (its state may be inconsistent; entries treat a lost agent correctly). Every test of the agent's process now fails if such a fault occurred.

--- a/egretlock-agent/src/main/kotlin/io/egretlock/agent/AgentProcess.kt
+++ b/egretlock-agent/src/main/kotlin/io/egretlock/agent/AgentProcess.kt
@@ -10,6 +10,7 @@
 import io.javalin.config.JavalinConfig
 import io.ktor.network.selector.SelectorManager
 import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.CoroutineExceptionHandler
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.Job
@@ -26,11 +27,19 @@
 
 private val logger = KotlinLogging.logger {}
 
-/** A running agent: its state, its connections to entries and its two HTTP servers. */
+/**
+ * A running agent: its state, its connections to entries and its two HTTP servers.
+ *
+ * @property onFailure called when the agent can't go on because of a fault of its own.
+ */
 internal class AgentProcess(
     private val settings: AgentSettings,
+    private val onFailure: () -> Unit = {},
 ) : Inspectable {
-    private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
+    private val scope =
+        CoroutineScope(
+            SupervisorJob() + Dispatchers.Default + CoroutineExceptionHandler { _, cause -> failed(cause) },
+        )
     private val selector = SelectorManager(Dispatchers.IO)
     private val client = HttpUpstreamClient()
     private val metrics = AgentMetrics()
@@ -62,6 +71,11 @@
         logger.event(AgentEvent.STOPPED)
     }
 
+    private fun failed(cause: Throwable) {
+        logger.event(AgentEvent.FAILED, "cause" to cause.stackTraceToString())
+        onFailure()
+    }
+
     /** Ends the calls that still run, so that their entries learn at once that there will be no answer. */
     private suspend fun giveUpRunningTasks(done: CompletableDeferred<Unit>) {
         logger.event(AgentEvent.DRAIN_INCOMPLETE)
--- a/egretlock-agent/src/main/kotlin/io/egretlock/agent/HttpUpstreamClient.kt
+++ b/egretlock-agent/src/main/kotlin/io/egretlock/agent/HttpUpstreamClient.kt
@@ -123,7 +123,7 @@
         ) = onEnd(
             try {
                 CallEnd.Ended(response.use(TaskCodec::outcomeOf))
-            } catch (failure: IOException) {
+            } catch (failure: Exception) {
                 endWithoutAnswer(failure)
             },
         )
@@ -133,7 +133,7 @@
             e: IOException,
         ) = onEnd(endWithoutAnswer(e))
 
-        private fun endWithoutAnswer(failure: IOException): CallEnd {
+        private fun endWithoutAnswer(failure: Exception): CallEnd {
             logger.debug { "Call to the upstream failed: $failure" }
             if (!tracker.mayHaveSent) return CallEnd.NotStarted
             val verdict = if (failure is InterruptedIOException) NO_ANSWER_IN_TIME else CONNECTION_LOST
--- a/egretlock-agent/src/main/kotlin/io/egretlock/agent/Main.kt
+++ b/egretlock-agent/src/main/kotlin/io/egretlock/agent/Main.kt
@@ -37,7 +37,7 @@
 
 private fun run(settings: AgentSettings) {
     LogSetup.apply(settings.logFormat)
-    val process = AgentProcess(settings)
+    val process = AgentProcess(settings) { Runtime.getRuntime().halt(EXIT_FAILURE) }
     try {
         process.start()
     } catch (inUse: JavalinBindException) {
--- a/egretlock-agent/src/test/kotlin/io/egretlock/agent/AgentFixture.kt
+++ b/egretlock-agent/src/test/kotlin/io/egretlock/agent/AgentFixture.kt
@@ -22,6 +22,7 @@
 import java.net.http.HttpClient
 import java.net.http.HttpRequest
 import java.net.http.HttpResponse
+import java.util.concurrent.atomic.AtomicInteger
 
 /** An agent in the test's own process, with the HTTP calls that an upstream and an operator make. */
 internal class AgentFixture(
@@ -41,12 +42,15 @@
             drainMillis = drainMillis,
             logFormat = LogFormat.TEXT,
         )
+
+    private val failures = AtomicInteger()
+
     private val http = HttpClient.newHttpClient()
     val process: AgentProcess
 
     init {
         LogSetup.apply(LogFormat.TEXT, Level.ERROR)
-        process = AgentProcess(settings).apply { start() }
+        process = AgentProcess(settings) { failures.incrementAndGet() }.apply { start() }
     }
 
     fun announce(announcement: UpstreamAnnouncement): Int = announce(Json.encodeToString(announcement)).statusCode()
@@ -60,7 +64,10 @@
 
     fun dump(): AgentDump = Json.decodeFromString(get("/dump").body())
 
-    override fun close() = runBlocking { process.stop() }
+    override fun close() {
+        runBlocking { process.stop() }
+        check(failures.get() == 0) { "The agent failed by a fault of its own." }
+    }
 
     private fun call(
         address: NodeAddress,
--- a/egretlock-agent/src/test/kotlin/io/egretlock/agent/EntryDialerTest.kt
+++ b/egretlock-agent/src/test/kotlin/io/egretlock/agent/EntryDialerTest.kt
@@ -2,6 +2,7 @@
 
 import io.egretlock.agent.AgentFixture.Companion.start
 import io.egretlock.core.job.TaskOutcome
+import io.egretlock.core.roster.NodeAddress
 import io.egretlock.protocol.Acknowledge
 import io.egretlock.protocol.AttemptState
 import io.egretlock.protocol.AttemptStatus
@@ -107,6 +108,15 @@
             assertEquals(listOf("POST /tasks/job:0", "DELETE /tasks/job:0"), upstream.requests.toList())
         }
 
+    @Test
+    fun `given an address whose host is unknown, when it is dialled, then the others are still connected`() =
+        runBlocking {
+            val entry = EntryStandIn()
+            val agent = AgentFixture(listOf(NodeAddress("nowhere.invalid", 1), entry.address))
+            entry.session()
+            listOf(agent, entry).forEach { it.close() }
+        }
+
     @Test
     fun `given two addresses of one entry, when both are dialled, then the latest connection is used`() =
         runBlocking {
