--- a/egretlock-agent/src/main/kotlin/io/egretlock/agent/AgentProcess.kt
+++ b/egretlock-agent/src/main/kotlin/io/egretlock/agent/AgentProcess.kt
@@ -79,7 +79,7 @@
 
     private fun dial(address: NodeAddress) {
         dialers.compute(address) { _, present ->
-            present?.takeIf { it.isActive } ?: scope.launch {
+            present?.takeIf { it.isActive } ?: scope.launchEssential(logger, AgentEvent.TASK_FAILED) {
                 EntryDialer(address, settings.timing, selector, scope, agent.commands).run()
             }
         }
--- a/egretlock-agent/src/test/kotlin/io/egretlock/agent/EntryDialerTest.kt
+++ b/egretlock-agent/src/test/kotlin/io/egretlock/agent/EntryDialerTest.kt
@@ -1,19 +1,22 @@
 package io.egretlock.agent
 
 import io.egretlock.agent.AgentFixture.Companion.start
+import io.egretlock.core.job.ProcessId
 import io.egretlock.core.job.TaskOutcome
+import io.egretlock.core.roster.EntryMember
+import io.egretlock.core.roster.NodeAddress
+import io.egretlock.core.roster.Roster
 import io.egretlock.protocol.Acknowledge
 import io.egretlock.protocol.AttemptState
 import io.egretlock.protocol.AttemptStatus
 import io.egretlock.protocol.CreditGrant
 import io.egretlock.protocol.Finished
-import io.egretlock.protocol.Heartbeat
 import io.egretlock.protocol.LinkTiming
 import io.egretlock.protocol.Reconcile
 import io.egretlock.protocol.ReconcileReply
-import kotlinx.coroutines.delay
+import io.egretlock.protocol.RosterUpdate
+import io.egretlock.protocol.StartRefused
 import kotlinx.coroutines.runBlocking
-import kotlinx.coroutines.withTimeout
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.params.ParameterizedTest
@@ -110,21 +113,30 @@
         }
 
     @Test
-    fun `given two addresses of one entry, when both are dialled, then one connection is used`() =
+    fun `given an address whose host is unknown, when it is dialled, then the others are still connected`() =
+        runBlocking {
+            val entry = EntryStandIn()
+            val agent = AgentFixture(listOf(NodeAddress("nowhere.invalid", 1), entry.address))
+            entry.session()
+            listOf(agent, entry).forEach { it.close() }
+        }
+
+    @Test
+    fun `given two addresses of one entry, when the second is learned, then its connection is used`() =
         runBlocking {
             val entry = EntryStandIn()
             val proxy = SilencingProxy(entry.address)
-            val agent = AgentFixture(listOf(entry.address, proxy.address))
-            val links = List(2) { entry.session().link }
-            withTimeout(EntryStandIn.DEADLINE_MILLIS) {
-                while (links.none { !it.send(Heartbeat(0)) }) delay(POLL_MILLIS)
-            }
+            val agent = AgentFixture(listOf(entry.address))
+            entry.session().send(RosterUpdate(listOf(Roster(1, 0, listOf(EntryMember(ENTRY, proxy.address))))))
+            val latest = entry.session()
+            latest.send(start(0))
+            assertEquals(StartRefused(start(0).attempt), latest.receive<StartRefused>())
             assertEquals(1, agent.dump().entries.size)
             listOf(agent, proxy, entry).forEach { it.close() }
         }
 
     private companion object {
-        const val POLL_MILLIS = 10L
+        val ENTRY = ProcessId("entry-1", 1)
 
         /** An entry that never gives up a connection by itself, so that the agent must. */
         val PATIENT = LinkTiming(heartbeatMillis = 100, silenceMillis = 60_000)
