--- a/egretlock-bench/src/main/kotlin/io/egretlock/bench/process/ProcessRun.kt
+++ b/egretlock-bench/src/main/kotlin/io/egretlock/bench/process/ProcessRun.kt
@@ -75,7 +75,12 @@
             figure("entry resident MB, mean", entryUse.residentBytes / BYTES_PER_MEGABYTE / entries.size),
             figure("agent resident MB, mean", agentUse.residentBytes / BYTES_PER_MEGABYTE / agents.size),
             figure("agent bytes read and written per start", agentUse.transferredBytes.toDouble() / starts),
-        )
+        ) + refusalFigures()
+
+    private fun refusalFigures(): List<Figure> {
+        val reasons = refused().groupingBy { (it.reply as JobReply.Refused).problem.reason }.eachCount()
+        return reasons.map { (reason, count) -> figure("jobs refused for $reason", count.toDouble()) }
+    }
 
     private fun figure(
         measure: String,
@@ -96,7 +101,11 @@
             agent.upstream.starts.forEach { start -> speedByTask[start.task] = speeds.getValue(agent.name) }
         }
         for (job in sent.filter { it.reply is JobReply.Complete }) {
-            val runs = job.work.tasks.mapIndexed { index, task -> task.runMillis / speedByTask.getValue("${job.id}:$index") }
+            val runs =
+                job.work.tasks.mapIndexed { index, task ->
+                    task.runMillis /
+                        speedByTask.getValue("${job.id}:$index")
+                }
             stretch.add(job.responseMillis / runs.max())
         }
     }
--- a/egretlock-bench/src/main/kotlin/io/egretlock/bench/scenario/ProcessScenario.kt
+++ b/egretlock-bench/src/main/kotlin/io/egretlock/bench/scenario/ProcessScenario.kt
@@ -17,24 +17,24 @@
 
     override fun run(options: ScenarioOptions): ScenarioResult =
         system().use { system ->
-            val idle = idleFigures(system)
+            val idle = idleFigures(system, "idle after the start")
             run(system, "warm-up", options, JobMix.BOOKING, WARM_UP_LOAD)
-            val phases =
-                listOf(
-                    run(system, "haddad at 0.2", options, JobMix.BOOKING, LIGHT_LOAD),
-                    run(system, "haddad at 0.8", options, JobMix.BOOKING, LOAD),
-                    run(system, "reti-etnee at 0.8 with reviews", options, JobMix.CHECKS_AND_REVIEWS, LOAD),
-                    crest(system, options),
-                )
-            val figures = idle + phases.flatMap { it.figures() }
-            ScenarioResult(name, options.seed, 1, options.durationMillis, figures, bounds(phases, options))
+            val light = run(system, "haddad at 0.2", options, JobMix.BOOKING, LIGHT_LOAD)
+            val booking = run(system, "haddad at 0.8", options, JobMix.BOOKING, LOAD)
+            val checks = run(system, "reti-etnee at 0.8 with reviews", options, JobMix.CHECKS_AND_REVIEWS, LOAD)
+            val crest = crest(system, options)
+            val loaded = listOf(light, booking, checks, crest).flatMap { it.figures() }
+            val figures = idle + loaded + idleFigures(system, "idle after the load")
+            val bounds = bounds(booking, checks, crest, options)
+            ScenarioResult(name, options.seed, 1, options.durationMillis, figures, bounds)
         }
 
     private fun bounds(
-        phases: List<ProcessRun>,
+        booking: ProcessRun,
+        checks: ProcessRun,
+        crest: ProcessRun,
         options: ScenarioOptions,
     ): List<Bound> {
-        val (_, booking, checks, crest) = phases
         val capacity = Fleet.CAPACITY * (options.durationMillis - CREST_RISE_MILLIS)
         val service = crest.answeredWork(CREST_RISE_MILLIS, options.durationMillis) / capacity
         return listOf(
@@ -61,25 +61,32 @@
         options: ScenarioOptions,
     ): ProcessRun {
         val arrivals =
-            Arrivals(options.seed).draw(JobMix.BOOKING, Fleet.TEAM, Fleet.CAPACITY, options.durationMillis, CREST_LOAD) {
+            Arrivals(
+                options.seed,
+            ).draw(JobMix.BOOKING, Fleet.TEAM, Fleet.CAPACITY, options.durationMillis, CREST_LOAD) {
                 (LOAD + (CREST_LOAD - LOAD) * it / CREST_RISE_MILLIS).coerceAtMost(CREST_LOAD)
             }
         return ProcessRun("crest", system, SERVICE, options.seed - 1).run(arrivals)
     }
 
-    private fun idleFigures(system: TestSystem): List<Figure> {
-        val processes = listOf("entry" to system.entries.map { it.process }, "agent" to system.agents.map { it.process })
+    private fun idleFigures(
+        system: TestSystem,
+        load: String,
+    ): List<Figure> {
+        val processes =
+            listOf("entry" to system.entries.map { it.process }, "agent" to system.agents.map { it.process })
         val before = processes.map { (_, members) -> members.map { ResourceUse.of(it.pid) } }
         Thread.sleep(IDLE_MILLIS)
         return processes.flatMapIndexed { index, (role, members) ->
             val now = members.map { ResourceUse.of(it.pid) }
             val processor = now.sumOf { it.processorMillis } - before[index].sumOf { it.processorMillis }
-            val bytes = now.sumOf { it.readBytes + it.writtenBytes } - before[index].sumOf { it.readBytes + it.writtenBytes }
+            val bytes =
+                now.sumOf { it.readBytes + it.writtenBytes } - before[index].sumOf { it.readBytes + it.writtenBytes }
             val perSecond = MILLIS / IDLE_MILLIS / members.size
             listOf(
-                Figure("idle", role, "processor ms per second", processor * perSecond),
-                Figure("idle", role, "bytes read and written per second", bytes * perSecond),
-                Figure("idle", role, "resident MB", now.sumOf { it.residentBytes } / BYTES_PER_MEGABYTE / members.size),
+                Figure(load, role, "processor ms per second", processor * perSecond),
+                Figure(load, role, "bytes read and written per second", bytes * perSecond),
+                Figure(load, role, "resident MB", now.sumOf { it.residentBytes } / BYTES_PER_MEGABYTE / members.size),
             )
         }
     }
