--- a/egretlock-agent/src/test/kotlin/io/egretlock/agent/AgentStandUp.kt
+++ b/egretlock-agent/src/test/kotlin/io/egretlock/agent/AgentFixture.kt
@@ -24,7 +24,7 @@
 import java.net.http.HttpResponse
 
 /** An agent in the test's own process, with the HTTP calls that an upstream and an operator make. */
-internal class AgentStandUp(
+internal class AgentFixture(
     entries: List<NodeAddress>,
     timing: LinkTiming = LinkTiming(heartbeatMillis = 100, silenceMillis = 1_000),
     drainMillis: Long = 10_000,
@@ -46,7 +46,7 @@
 
     init {
         LogSetup.apply(LogFormat.TEXT, Level.ERROR)
-        process = AgentProcess(settings).apply { start() }
+        process = AgentProcess(settings).apply { runBlocking { start() } }
     }
 
     fun announce(announcement: UpstreamAnnouncement): Int = announce(Json.encodeToString(announcement)).statusCode()
