Word the dispatcher's refusals as sentences

Cause: a verdict's detail is one sentence for a person; the dispatcher's were fragments and differed from those of the home for the same cause. Ruled out: a catalogue of texts; each stands at its one place. Conclusion: verify of egretlock-core passes.

--- a/egretlock-core/src/main/kotlin/io/egretlock/core/placement/AdmissionControl.kt
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/placement/AdmissionControl.kt
@@ -72,7 +72,7 @@
         val retryAfter = retrySchedule.retryAfterMillis(forecast, excessMillis, nowMillis)
         return Verdict.NotRun(
             Reason.OVERLOADED,
-            "the job would wait ${forecast.waitMillis.toLong()} ms of its ${forecast.remainingMillis} ms",
+            "The job would wait ${forecast.waitMillis.toLong()} ms of its ${forecast.remainingMillis} ms.",
             retryAfter,
         )
     }
--- a/egretlock-core/src/main/kotlin/io/egretlock/core/placement/FairDispatcher.kt
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/placement/FairDispatcher.kt
@@ -149,7 +149,7 @@
         val forecast = forecaster.forecast(job, account, remainingMillis, rate)
         val waiting = queues.short.waitingOf(account) + queues.long.waitingOf(account)
         if (waiting + job.tasks.size > limits.longestQueue) {
-            val detail = "$waiting tasks of team ${job.team} wait; at most ${limits.longestQueue} may"
+            val detail = "$waiting tasks of team '${job.team}' wait; at most ${limits.longestQueue} may."
             return Verdict.NotRun(Reason.QUOTA, detail, forecast.waitMillis.toLong().coerceAtLeast(1))
         }
         observe(nowMillis)
--- a/egretlock-core/src/main/kotlin/io/egretlock/core/placement/JobChecks.kt
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/placement/JobChecks.kt
@@ -40,12 +40,12 @@
         val largest = minOf(limits.largestJob, limits.longestQueue)
         return when {
             job.tasks.size > largest ->
-                Verdict.NotRun(Reason.TOO_LARGE, "the job has ${job.tasks.size} tasks; at most $largest are allowed")
+                Verdict.NotRun(Reason.TOO_LARGE, "The job has ${job.tasks.size} tasks; at most $largest are allowed.")
 
             job.deadlineMillis > limits.longestDeadlineMillis ->
                 Verdict.NotRun(
                     Reason.TOO_LARGE,
-                    "the deadline is ${job.deadlineMillis} ms; at most ${limits.longestDeadlineMillis} ms are allowed",
+                    "The deadline is ${job.deadlineMillis} ms; at most ${limits.longestDeadlineMillis} ms are allowed.",
                 )
 
             else -> null
@@ -54,14 +54,21 @@
 
     private fun upstreamRefusal(job: Job): Verdict.NotRun? {
         if (profiles.isNotEmpty()) return null
-        return Verdict.NotRun(Reason.NO_UPSTREAM, "no upstream announces ${job.service}", NO_UPSTREAM_RETRY_MILLIS)
+        return Verdict.NotRun(
+            Reason.NO_UPSTREAM,
+            "No upstream announces service '${job.service}'.",
+            NO_UPSTREAM_RETRY_MILLIS,
+        )
     }
 
     private fun needsRefusal(job: Job): Verdict.NotRun? {
         val needs = job.tasks.mapTo(HashSet()) { task -> task.declared.copy(runMillis = null) }
         needs.remove(DeclaredNeeds())
         val impossible = needs.firstOrNull { need -> profiles.keys.none { offer -> fits(need, offer) } } ?: return null
-        return Verdict.NotRun(Reason.IMPOSSIBLE, "no upstream of ${job.service} offers ${describe(impossible)}")
+        return Verdict.NotRun(
+            Reason.IMPOSSIBLE,
+            "No upstream of service '${job.service}' offers ${describe(impossible)}.",
+        )
     }
 
     private fun deadlineRefusal(
@@ -74,7 +81,7 @@
             if (remainingMillis < shortest) {
                 return Verdict.NotRun(
                     Reason.IMPOSSIBLE,
-                    "$remainingMillis ms are left; the shortest run of $operation took $shortest ms",
+                    "$remainingMillis ms are left; the shortest run of '$operation' took $shortest ms.",
                 )
             }
         }
--- a/egretlock-core/src/main/kotlin/io/egretlock/core/placement/TeamPolicies.kt
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/placement/TeamPolicies.kt
@@ -45,9 +45,9 @@
     /** Refusal of a job of a team without limits for the service. */
     fun refusalOf(team: TeamName): Verdict.NotRun =
         if (team in stored) {
-            Verdict.NotRun(Reason.UNKNOWN_SERVICE, "team $team has no service $service")
+            Verdict.NotRun(Reason.UNKNOWN_SERVICE, "Team '$team' has no service '$service'.")
         } else {
-            Verdict.NotRun(Reason.UNKNOWN_TEAM, "no team $team")
+            Verdict.NotRun(Reason.UNKNOWN_TEAM, "Team '$team' has no settings.")
         }
 
     /** The team's account; made on first use. */
--- a/egretlock-core/src/test/kotlin/io/egretlock/core/placement/DeadlineAdmissionTest.kt
+++ b/egretlock-core/src/test/kotlin/io/egretlock/core/placement/DeadlineAdmissionTest.kt
@@ -16,7 +16,7 @@
 
     @Test
     fun `given a wait past the deadline, when asked, then the refusal tells when to come back`() {
-        val expected = Verdict.NotRun(Reason.OVERLOADED, "the job would wait 1000 ms of its 1000 ms", 300)
+        val expected = Verdict.NotRun(Reason.OVERLOADED, "The job would wait 1000 ms of its 1000 ms.", 300)
         assertEquals(expected, admission.refusal(forecast(waitMillis = 1_000.0), 0))
     }
 
--- a/egretlock-core/src/test/kotlin/io/egretlock/core/placement/FairDispatcherTest.kt
+++ b/egretlock-core/src/test/kotlin/io/egretlock/core/placement/FairDispatcherTest.kt
@@ -23,11 +23,15 @@
 
     @Test
     fun `given an unknown team, when it submits, then it is refused as not run`() =
-        assertRefused(Reason.UNKNOWN_TEAM, "no team south", dispatcher.submitNow(job("j", team = OTHER_TEAM)))
+        assertRefused(
+            Reason.UNKNOWN_TEAM,
+            "Team 'south' has no settings.",
+            dispatcher.submitNow(job("j", team = OTHER_TEAM)),
+        )
 
     @Test
     fun `given no agent, when a job is submitted, then it is refused with a time to come back`() {
-        val refusal = Verdict.NotRun(Reason.NO_UPSTREAM, "no upstream announces net-check", 1_000)
+        val refusal = Verdict.NotRun(Reason.NO_UPSTREAM, "No upstream announces service 'net-check'.", 1_000)
         assertEquals(Admission.Refused(refusal), dispatcher.submitNow(job("j")))
     }
 
@@ -38,7 +42,7 @@
         dispatcher.submitNow(job("j1", tasks = 2))
         assertRefused(
             Reason.QUOTA,
-            "2 tasks of team north wait; at most 3 may",
+            "2 tasks of team 'north' wait; at most 3 may.",
             dispatcher.submitNow(job("j2", tasks = 2)),
         )
     }
--- a/egretlock-core/src/test/kotlin/io/egretlock/core/placement/JobChecksTest.kt
+++ b/egretlock-core/src/test/kotlin/io/egretlock/core/placement/JobChecksTest.kt
@@ -15,13 +15,13 @@
 
     @Test
     fun `given a job above its limit, when checked, then it is too large for ever`() {
-        val expected = Verdict.NotRun(Reason.TOO_LARGE, "the job has 4 tasks; at most 3 are allowed")
+        val expected = Verdict.NotRun(Reason.TOO_LARGE, "The job has 4 tasks; at most 3 are allowed.")
         assertEquals(expected, checks.refusal(job("j", tasks = 4), limits, 1_000))
     }
 
     @Test
     fun `given a need above every upstream's, when checked, then it is impossible`() {
-        val expected = Verdict.NotRun(Reason.IMPOSSIBLE, "no upstream of net-check offers 3 accelerators")
+        val expected = Verdict.NotRun(Reason.IMPOSSIBLE, "No upstream of service 'net-check' offers 3 accelerators.")
         assertEquals(expected, checks.refusal(needing(3), limits, 1_000))
         assertNull(checks.refusal(needing(2), limits, 1_000))
     }
@@ -36,7 +36,7 @@
     @Test
     fun `given a deadline below the shortest run seen, when checked, then it is impossible`() {
         runTimes.record(CHECK, agentId("a"), 200)
-        val detail = "199 ms are left; the shortest run of tear-check took 200 ms"
+        val detail = "199 ms are left; the shortest run of 'tear-check' took 200 ms."
         assertEquals(Verdict.NotRun(Reason.IMPOSSIBLE, detail), checks.refusal(job("j"), limits, 199))
         assertNull(checks.refusal(job("j"), limits, 200))
     }
