--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/HomeTask.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/HomeTask.kt
@@ -9,6 +9,7 @@
 import io.egretlock.core.job.TaskId
 import io.egretlock.core.job.TeamName
 import io.egretlock.core.placement.AgentView
+import io.egretlock.core.roster.EntryMember
 import io.egretlock.core.settings.StoredTeamSettings
 import io.egretlock.process.event
 import io.egretlock.protocol.Acknowledge
@@ -26,6 +27,7 @@
 import io.egretlock.protocol.Reconcile
 import io.egretlock.protocol.ReconcileReply
 import io.egretlock.protocol.RevokeReply
+import io.egretlock.protocol.RosterUpdate
 import io.egretlock.protocol.SettingsApplied
 import io.egretlock.protocol.SettingsRevision
 import io.egretlock.protocol.SettingsUpdate
@@ -45,16 +47,17 @@
  * @property nowMillis monotonic clock in milliseconds.
  */
 internal class HomeTask(
-    private val self: ProcessId,
+    private val self: EntryMember,
     private val home: Home,
     private val metrics: EntryMetrics,
     private val nowMillis: () -> Long,
 ) {
     private val inputs = Channel<HomeInput>(Channel.UNLIMITED)
     private val agents = linkedMapOf<ProcessId, ConnectedAgent>()
-    private val waiters = mutableMapOf<JobId, MutableList<CompletableDeferred<JobOutcome>>>()
+    private val waiters = mutableMapOf<JobId, MutableList<CompletableDeferred<SubmitReply>>>()
     private val settings = linkedMapOf<TeamName, StoredTeamSettings>()
     private val counts = OutcomeCounts()
+    private val custody = ClaimCustody(self)
     private val acknowledged = linkedMapOf<ProcessId, MutableList<TaskId>>()
 
     /** Queues an input. */
@@ -88,17 +91,51 @@
             is HomeInput.FromAgent -> if (isCurrent(input.link, input.agent)) fromAgent(input.agent, input.message)
             is HomeInput.AgentClosed -> agentClosed(input)
             is HomeInput.Settings -> applySettings(input.stored)
-            is HomeInput.EntriesChanged -> home.entriesChanged(input.share)
             is HomeInput.Outcomes -> input.reply.complete(outcomes(input.team))
-            is HomeInput.StopClaiming -> home.stopClaiming()
+            is HomeInput.Membership -> handleMembership(input)
             is HomeInput.Tick -> home.tick(nowMillis())
             is HomeInput.Dump -> input.reply.complete(dump())
         }
     }
 
+    private fun handleMembership(input: HomeInput.Membership) {
+        when (input) {
+            is HomeInput.StopClaiming -> home.stopClaiming()
+            is HomeInput.HandOver -> handOver(input)
+            is HomeInput.Inherit -> inherit(input)
+            is HomeInput.RostersChanged -> agents.values.forEach { it.link.send(RosterUpdate(input.rosters)) }
+            is HomeInput.EntriesChanged -> home.entriesChanged(input.share)
+        }
+    }
+
+    private fun handOver(input: HomeInput.HandOver) {
+        custody.handOver(input.heir)
+        val ended = home.exportClaims(nowMillis())
+        input.reply.complete(ClaimsToHand(ended, custody.runningJobs(home.liveJobIds())))
+    }
+
+    private fun inherit(input: HomeInput.Inherit) {
+        if (custody.heir == null) {
+            home.importClaims(input.claims, nowMillis())
+            custody.inherit(input.running)
+            custody.ended(input.claims.map { it.claim.job })
+        }
+        input.reply.complete(custody.heir == null)
+    }
+
     private fun submit(input: HomeInput.Submit) {
+        val elsewhere = if (home.state(input.job.id) == null) unknownJob(input) else null
+        if (elsewhere == null) submitHere(input) else input.reply.complete(elsewhere)
+    }
+
+    /** What to answer to a job that is not known here; null if it may be claimed. */
+    private fun unknownJob(input: HomeInput.Submit): SubmitReply? =
+        custody.holderOf(input.job.id)?.let { SubmitReply.Moved(it) }
+            ?: input.unlessKnown?.let { SubmitReply.Ended(JobOutcome.WithoutAnswer(it)) }
+
+    private fun submitHere(input: HomeInput.Submit) {
         when (val submission = home.submit(input.job, input.remainingMillis, nowMillis())) {
-            is Submission.Ended -> input.reply.complete(submission.outcome)
+            is Submission.Ended -> input.reply.complete(SubmitReply.Ended(submission.outcome))
             is Submission.Waiting -> waiters.getOrPut(input.job.id) { mutableListOf() } += input.reply
         }
     }
@@ -195,7 +232,7 @@
     private fun carryOut(effect: HomeEffect) {
         when (effect) {
             is HomeEffect.JobEnded -> jobEnded(effect)
-            is HomeEffect.StartTask -> send(effect.agent, start(effect))
+            is HomeEffect.StartTask -> send(effect.agent, effect.toMessage())
             is HomeEffect.AcknowledgeTask -> acknowledged.getOrPut(effect.agent) { mutableListOf() } += effect.task
             is HomeEffect.CancelTask -> send(effect.agent, Cancel(effect.task))
             is HomeEffect.ReconcileTasks -> send(effect.agent, Reconcile(effect.attempts))
@@ -206,21 +243,18 @@
 
     private fun jobEnded(effect: HomeEffect.JobEnded) {
         counts.add(effect.team, effect.outcome)
-        waiters.remove(effect.job)?.forEach { it.complete(effect.outcome) }
+        waiters.remove(effect.job)?.forEach { it.complete(SubmitReply.Ended(effect.outcome)) }
     }
 
     private fun outcomes(team: TeamName) =
         OutcomeReport(
-            entry = self,
+            entry = self.entry,
             outcomes = counts.of(team),
             revisions =
-                listOf(ProcessRevision(self, settings[team]?.revision ?: 0)) +
+                listOf(ProcessRevision(self.entry, settings[team]?.revision ?: 0)) +
                     agents.map { (agent, connected) -> ProcessRevision(agent, connected.revisions[team] ?: 0) },
         )
 
-    private fun start(effect: HomeEffect.StartTask) =
-        Start(effect.attempt, effect.team, effect.specification, effect.remainingMillis)
-
     private fun send(
         agent: ProcessId,
         message: Message,
@@ -269,3 +303,5 @@
 }
 
 private fun Message.kind(): String = this::class.simpleName.orEmpty()
+
+private fun HomeEffect.StartTask.toMessage() = Start(attempt, team, specification, remainingMillis)
