--- a/egretlock-bench/src/main/kotlin/io/egretlock/bench/process/ProcessRun.kt
+++ b/egretlock-bench/src/main/kotlin/io/egretlock/bench/process/ProcessRun.kt
@@ -75,7 +75,12 @@
             figure("entry resident MB, mean", entryUse.residentBytes / BYTES_PER_MEGABYTE / entries.size),
             figure("agent resident MB, mean", agentUse.residentBytes / BYTES_PER_MEGABYTE / agents.size),
             figure("agent bytes read and written per start", agentUse.transferredBytes.toDouble() / starts),
-        )
+        ) + refusalFigures()
+
+    private fun refusalFigures(): List<Figure> {
+        val reasons = refused().groupingBy { (it.reply as JobReply.Refused).problem.reason }.eachCount()
+        return reasons.map { (reason, count) -> figure("jobs refused for $reason", count.toDouble()) }
+    }
 
     private fun figure(
         measure: String,
