--- a/egretlock-core/src/main/kotlin/io/egretlock/core/placement/RunTimeLearner.kt
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/placement/RunTimeLearner.kt
@@ -85,6 +85,7 @@
             private set
         var shortestMillis = Long.MAX_VALUE
             private set
+        private var longestMillis = 1L
         private var rawLevel = 0.0
         private var rawVariance = 0.0
 
@@ -100,10 +101,12 @@
             rawLevel += weight * deviation
             rawVariance += weight * (deviation * deviation * (1 - weight) - rawVariance)
             shortestMillis = min(shortestMillis, runMillis)
+            longestMillis = max(longestMillis, runMillis)
             count++
         }
 
-        fun tailMillis(): Double = exp(rawLevel + TAIL_DEVIATIONS * sqrt(rawVariance))
+        /** Two run times far apart have a quantile far above both, hence the bound. */
+        fun tailMillis(): Double = min(exp(rawLevel + TAIL_DEVIATIONS * sqrt(rawVariance)), longestMillis.toDouble())
     }
 
     private companion object {
--- a/egretlock-core/src/test/kotlin/io/egretlock/core/placement/RunTimeLearnerTest.kt
+++ b/egretlock-core/src/test/kotlin/io/egretlock/core/placement/RunTimeLearnerTest.kt
@@ -20,6 +20,15 @@
         assertEquals(100.0, learner.expectedMillis(REVIEW, 70), TOLERANCE)
     }
 
+    @Test
+    fun `given runs of 5 and of 700 ms, when asked, then the tail is no longer than the longest run`() {
+        repeat(20) {
+            learner.record(CHECK, agentId("a"), 5)
+            learner.record(CHECK, agentId("a"), 700)
+        }
+        assertEquals(700.0, learner.tailMillis(CHECK), TOLERANCE)
+    }
+
     @Test
     fun `given two agents of different speed, when both have run, then their ratio is learned`() {
         repeat(200) {
--- a/egretlock-testing/src/test/kotlin/io/egretlock/testing/proof/FaultySystem.kt
+++ b/egretlock-testing/src/test/kotlin/io/egretlock/testing/proof/FaultySystem.kt
@@ -60,7 +60,14 @@
             Moment.STARTED -> submitAll(jobs = 4, tasks = 2, runMillis = 700)
             Moment.UNACKNOWLEDGED -> submitAll(jobs = 4, tasks = 2, runMillis = 300)
         }
-        if (moment != Moment.AT_REST) Await.until("all slots are taken") { startsOfSubmitted() >= 2 * SLOTS }
+        if (moment !=
+            Moment.AT_REST
+        ) {
+            Await.until("all slots are taken", timeoutMillis = SERVE_MILLIS) {
+                startsOfSubmitted() >=
+                    2 * SLOTS
+            }
+        }
         if (moment == Moment.UNACKNOWLEDGED) {
             system.entries.forEach { it.link?.silence() }
             Thread.sleep(FINISH_MILLIS)
@@ -141,7 +148,7 @@
         const val SLOTS = 4
         const val DEADLINE_MILLIS = 6_000L
         const val REPLY_MILLIS = 10_000L
-        const val SERVE_MILLIS = 20_000L
+        const val SERVE_MILLIS = 10_000L
         const val FINISH_MILLIS = 500L
     }
 }
