Test settings against a restored store, retries in an outage and racing lost writes

Change: a watcher test in which a restored store has gone on with other teams, calls counted also during the outage, and SettingsEditorRaceTest: 100 rounds of four editors with lost requests, lost answers and late writes, each outcome compared with what was stored (seed 1, printed on failure).

--- /dev/null
+++ b/egretlock-testing/src/test/kotlin/io/egretlock/testing/store/SettingsEditorRaceTest.kt
@@ -0,0 +1,139 @@
+package io.egretlock.testing.store
+
+import io.egretlock.core.retry.Backoff
+import io.egretlock.core.settings.teamSettings
+import io.egretlock.platform.KeyValueStore
+import io.egretlock.platform.StoreEntry
+import io.egretlock.platform.StoreException
+import io.egretlock.platform.StoreOutcomeUnknownException
+import io.egretlock.platform.StoreSnapshot
+import io.egretlock.platform.SwapResult
+import io.egretlock.platform.settings.SettingsEditOutcome
+import io.egretlock.platform.settings.SettingsEditor
+import io.egretlock.platform.settings.SettingsRecord
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.flow.Flow
+import kotlinx.coroutines.flow.emptyFlow
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.yield
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Test
+import kotlin.random.Random
+
+/** Editors that race on one key of a store that loses requests and answers and carries out some writes late. */
+class SettingsEditorRaceTest {
+    private val seed = Integer.getInteger("egretlock.settings.seed", 1)
+
+    @Test
+    fun `given lost and late writes, when editors race, then each outcome is true of what was stored`() {
+        val random = Random(seed)
+        repeat(ROUNDS) { round ->
+            val store = UnreliableStore(random)
+            val outcomes = race(store, random)
+            store.carryOutLateWrites()
+            val stored = store.writeIds()
+            val untrue = outcomes.filterNot { (id, outcome) -> isTrue(outcome, id in stored) }
+            assertEquals(emptyMap<String, SettingsEditOutcome>(), untrue) { "seed $seed, round $round, stored $stored" }
+            assertEquals(stored.distinct(), stored) { "seed $seed, round $round" }
+        }
+    }
+
+    private fun isTrue(
+        outcome: SettingsEditOutcome,
+        stored: Boolean,
+    ): Boolean =
+        when (outcome) {
+            is SettingsEditOutcome.Accepted -> stored
+            is SettingsEditOutcome.Conflict, is SettingsEditOutcome.Unavailable -> !stored
+            is SettingsEditOutcome.Unknown -> true
+        }
+
+    private fun race(
+        store: UnreliableStore,
+        random: Random,
+    ): Map<String, SettingsEditOutcome> {
+        val outcomes = mutableMapOf<String, SettingsEditOutcome>()
+        runBlocking {
+            coroutineScope {
+                repeat(EDITORS) { editor -> launch { edit(store, random, "editor-$editor", outcomes) } }
+            }
+        }
+        return outcomes
+    }
+
+    private suspend fun edit(
+        store: UnreliableStore,
+        random: Random,
+        name: String,
+        outcomes: MutableMap<String, SettingsEditOutcome>,
+    ) {
+        repeat(EDITS) { number ->
+            val id = "$name-$number"
+            val editor = SettingsEditor(store, Backoff(1, 2), random) { id }
+            val settings = teamSettings("haddad") { weight = 1.0 + number }
+            outcomes[id] =
+                editor.edit(settings, store.presentRevision(), 0, random.nextLong(1, LONGEST_DEADLINE_MILLIS))
+        }
+    }
+
+    private class UnreliableStore(
+        private val random: Random,
+    ) : KeyValueStore {
+        private val history = StoreHistory()
+        private val late = mutableListOf<() -> Unit>()
+
+        fun presentRevision(): Long = history.read(KEY, until = null).firstOrNull()?.revision ?: 0
+
+        fun carryOutLateWrites() = late.forEach { it() }
+
+        fun writeIds(): List<String> =
+            history
+                .changesAfter(KEY, until = null, afterRevision = 0, waitMillis = 1)
+                .mapNotNull { SettingsRecord.decode(it).write?.id }
+
+        override suspend fun read(
+            prefix: String,
+            changedAfter: Long,
+        ): StoreSnapshot {
+            yield()
+            if (random.nextInt(FAULT_ONE_IN) == 0) throw StoreException("lost")
+            return StoreSnapshot(history.read(prefix, until = null), history.revision)
+        }
+
+        override suspend fun compareAndSwap(
+            key: String,
+            expectedRevision: Long,
+            value: String,
+        ): SwapResult {
+            yield()
+            val write = { history.compareAndSwap(key, expectedRevision, value) }
+            val loss = random.nextInt(FAULT_ONE_IN)
+            if (loss == LOST_REQUEST) throw StoreOutcomeUnknownException(key)
+            if (loss == LATE_REQUEST) late += { write() }
+            val stored = loss != LATE_REQUEST && write()
+            val revision = history.revision
+            yield()
+            if (loss == LATE_REQUEST || loss == LOST_ANSWER) throw StoreOutcomeUnknownException(key)
+            val present = history.read(key, until = null).firstOrNull()
+            return if (stored) SwapResult.Stored(revision) else SwapResult.Conflict(present)
+        }
+
+        override fun watch(
+            prefix: String,
+            revision: Long,
+        ): Flow<StoreEntry> = emptyFlow()
+    }
+
+    private companion object {
+        const val KEY = "/egretlock/settings/haddad"
+        const val ROUNDS = 100
+        const val EDITORS = 4
+        const val EDITS = 5
+        const val LONGEST_DEADLINE_MILLIS = 20L
+        const val FAULT_ONE_IN = 8
+        const val LOST_REQUEST = 0
+        const val LATE_REQUEST = 1
+        const val LOST_ANSWER = 2
+    }
+}
--- a/egretlock-testing/src/test/kotlin/io/egretlock/testing/store/SettingsWatcherTest.kt
+++ b/egretlock-testing/src/test/kotlin/io/egretlock/testing/store/SettingsWatcherTest.kt
@@ -106,6 +106,21 @@
         put(weight = 3.0).let { assertEquals(it, next()) }
     }
 
+    @Test
+    fun `given a restored store that has gone on with other teams, when read again, then no team goes back`() {
+        start()
+        put(weight = 1.0)
+        val newest = put(weight = 2.0)
+        awaitRevision(newest.revision)
+        standIn.faults = StoreFaults(availability = StoreAvailability.REFUSING)
+        await("the failure is told") { told.interruptions.isNotEmpty() }
+        standIn.history.restore(newest.revision - 1)
+        val others = List(3) { standIn.history.put("/egretlock/settings/other", """{"team":"other"}""") }
+        standIn.faults = StoreFaults()
+        assertEquals(StoredTeamSettings(others.last(), teamSettings("other") { }), next())
+        assertEquals(put(weight = 3.0), next())
+    }
+
     @Test
     fun `given an unreadable or deleted value, when watched, then it is told and the next good one arrives`() {
         start()
@@ -117,15 +132,16 @@
     }
 
     @Test
-    fun `given many watchers and an outage, when the store returns, then calls at most double the steady rate`() {
+    fun `given many watchers, when the store is out and returns, then calls at most double the steady rate`() {
         val outcomes = List(WATCHERS) { SettingsWatcher(store, TIMING).updates() }
         outcomes.forEach { flow -> scope.launch { flow.collect { } } }
         await("all watch") { standIn.calls.watches >= WATCHERS }
         val steady = callsWithinWindow()
         standIn.faults = StoreFaults(availability = StoreAvailability.REFUSING)
-        runBlocking { delay(WINDOW_MILLIS) }
+        val duringOutage = callsWithinWindow()
         standIn.faults = StoreFaults()
         val afterReturn = callsWithinWindow()
+        assertTrue(duringOutage <= 2 * steady, "$duringOutage calls in the outage, $steady in the steady state")
         assertTrue(afterReturn <= 2 * steady, "$afterReturn calls after the return, $steady in the steady state")
     }
 
