--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/EntryProcess.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/EntryProcess.kt
@@ -20,7 +20,9 @@
 import io.egretlock.platform.settings.SettingsWatcher
 import io.egretlock.process.Inspectable
 import io.egretlock.process.OperatorsRoutes
+import io.egretlock.process.ServedProcess
 import io.egretlock.process.event
+import io.egretlock.process.launchEssential
 import io.egretlock.protocol.EntryHello
 import io.egretlock.protocol.LinkListener
 import io.egretlock.protocol.Message
@@ -48,7 +50,8 @@
 internal class EntryProcess(
     private val settings: EntrySettings,
     platformStore: KeyValueStore,
-) : Inspectable {
+) : Inspectable,
+    ServedProcess {
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
     private val selector = SelectorManager(Dispatchers.IO)
     private val self = EntryMember(ProcessId(settings.name, System.currentTimeMillis()), settings.advertisedLinkAddress)
@@ -79,11 +82,10 @@
     override val ready: Boolean
         get() = !drain.isDraining && roster.view.history != null
 
-    /** Binds all addresses and starts all parts. Throws if an address is taken. */
-    suspend fun start() {
+    override suspend fun start() {
         metrics.observeLiveJobs { jobs.liveJobs }
-        scope.launch { home.run() }
-        scope.launch { roster.run() }
+        scope.launchEssential(logger, EntryEvent.TASK_FAILED) { home.run() }
+        scope.launchEssential(logger, EntryEvent.TASK_FAILED) { roster.run() }
         scope.launch { settingsKeeper.run(settingsWatcher.updates()) }
         scope.launch { tick() }
         listener = LinkListener.bind(settings.linkAddress, selector, scope, settings.timing, linkServer::serve)
@@ -93,7 +95,7 @@
     }
 
     /** Claims no new jobs, answers those in flight, then stops. */
-    suspend fun stop() {
+    override suspend fun stop() {
         drain.begin()
         logger.event(EntryEvent.DRAINING, "requests" to drain.requestsInFlight)
         val departure = Departure(self, roster, home, peers, handover)
