Heal upstreams after each test of link faults

Cause: a case that failed early left the upstreams hanging, so that four later cases failed with it (504). Change: upstreams go back to normal after each test.

--- a/egretlock-testing/src/test/kotlin/io/egretlock/testing/proof/LinkFaultTest.kt
+++ b/egretlock-testing/src/test/kotlin/io/egretlock/testing/proof/LinkFaultTest.kt
@@ -4,6 +4,7 @@
 import io.egretlock.testing.system.ProcessSignal
 import io.egretlock.testing.upstream.UpstreamMode
 import org.junit.jupiter.api.AfterAll
+import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.BeforeAll
 import org.junit.jupiter.api.Test
 import org.junit.jupiter.params.ParameterizedTest
@@ -39,6 +40,9 @@
         faulty.assertPromisesKept()
     }
 
+    @AfterEach
+    fun heal() = faulty.system.agents.forEach { it.upstream.changeMode(UpstreamMode.NORMAL) }
+
     @Test
     fun `given started jobs, when connections go silent and an agent is killed, then every promise is kept`() {
         faulty.bringTo(Moment.STARTED)
