--- a/egretlock-core/src/main/kotlin/io/egretlock/core/roster/RosterChanges.kt
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/roster/RosterChanges.kt
@@ -98,7 +98,7 @@
         nowMillis: Long,
     ): List<EntryMember>? {
         val members = history.newest.members
-        val removed = members.firstOrNull { it.entry != self.entry && isToRemove(history, it, nowMillis) }
+        val removed = members.firstOrNull { it.entry != self.entry && isToRemove(it, nowMillis) }
         val joiner = joiners.values.firstOrNull { joiner -> members.none { it.entry.name == joiner.entry.name } }
         return when {
             removed != null -> members - removed
@@ -109,12 +109,11 @@
     }
 
     private fun isToRemove(
-        history: RosterHistory,
         member: EntryMember,
         nowMillis: Long,
     ): Boolean {
         val superseded = joiners.values.any { it.entry.name == member.entry.name && it.entry != member.entry }
-        return superseded || !stays(history, member) || isLost(member.entry, nowMillis)
+        return superseded || isLost(member.entry, nowMillis)
     }
 
     private fun stays(
--- a/egretlock-core/src/main/kotlin/io/egretlock/core/roster/RosterKeeper.kt
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/roster/RosterKeeper.kt
@@ -49,7 +49,7 @@
             is RosterInput.PromiseAsked -> promiseAsked(input.question)
             is RosterInput.PromiseGiven -> silently { promiseGiven(input) }
             is RosterInput.JoinRequested -> silently { changes.joinRequested(input.member) }
-            is RosterInput.ClaimsInherited -> silently { inherit(input.entries) }
+            is RosterInput.ClaimsInherited -> inherit(input, nowMillis)
             is RosterInput.Leave -> leave(input.heir)
             is RosterInput.Tick -> emptyList()
         }
@@ -59,8 +59,13 @@
         return emptyList()
     }
 
-    private fun inherit(entries: Set<ProcessId>) {
-        view = view.copy(inherited = view.inherited + entries)
+    private fun inherit(
+        input: RosterInput.ClaimsInherited,
+        nowMillis: Long,
+    ): List<RosterOutput> {
+        view = view.copy(inherited = view.inherited + input.entries)
+        val history = view.history ?: return emptyList()
+        return learn(history.copy(handovers = (history.handovers + input.handover).distinct()), nowMillis)
     }
 
     private fun storeRead(
--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/EntryProcess.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/EntryProcess.kt
@@ -7,6 +7,10 @@
 import io.egretlock.core.placement.fairDispatcher
 import io.egretlock.core.roster.EntryMember
 import io.egretlock.core.roster.Roster
+import io.egretlock.core.roster.RosterHistory
+import io.egretlock.core.roster.RosterInput
+import io.egretlock.core.roster.RosterKeeper
+import io.egretlock.core.roster.RosterTiming
 import io.egretlock.core.settings.StoredTeamSettings
 import io.egretlock.platform.BudgetedStore
 import io.egretlock.platform.KeyValueStore
@@ -16,9 +20,12 @@
 import io.egretlock.platform.settings.SettingsWatcher
 import io.egretlock.process.Inspectable
 import io.egretlock.process.OperatorsRoutes
+import io.egretlock.process.ServedProcess
 import io.egretlock.process.event
+import io.egretlock.process.launchEssential
 import io.egretlock.protocol.EntryHello
 import io.egretlock.protocol.LinkListener
+import io.egretlock.protocol.Message
 import io.egretlock.protocol.SettingsUpdate
 import io.github.oshai.kotlinlogging.KotlinLogging
 import io.javalin.Javalin
@@ -43,7 +50,8 @@
 internal class EntryProcess(
     private val settings: EntrySettings,
     platformStore: KeyValueStore,
-) : Inspectable {
+) : Inspectable,
+    ServedProcess {
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
     private val selector = SelectorManager(Dispatchers.IO)
     private val self = EntryMember(ProcessId(settings.name, System.currentTimeMillis()), settings.advertisedLinkAddress)
@@ -52,31 +60,32 @@
     private val drain = Drain()
     private val metrics = EntryMetrics(registry)
     private val jobs = Home(ServiceDispatchers { service -> fairDispatcher(service) })
-    private val home = HomeTask(self.entry, jobs, metrics, ::monotonicMillis)
+    private val home = HomeTask(self, jobs, metrics, ::monotonicMillis)
     private val settingsKeeper = SettingsKeeper(::settingsChanged)
-    private val settingsWatcher = SettingsWatcher(store, listener = SettingsWatchLog())
+    private val settingsWatcher = SettingsWatcher(store, listener = SettingsWatchLog(settingsKeeper))
+    private val exchange = PeerExchange(settingsKeeper, ::rosterInput)
     private val peers =
-        PeerConnections(EntryHello(self.entry, self.address), settingsKeeper, selector, settings.timing, scope)
-    private val storeReader = StoreReader(store, self, ::rosterAdopted)
-    private val router = JobRouter(storeReader, home, peers)
-    private val linkServer = LinkServer(self.entry, home, router, knowledge(), settingsKeeper, scope)
+        PeerConnections(EntryHello(self.entry, self.address), exchange, selector, settings.timing, scope)
+    private val roster = rosterTask()
+    private val handover = HandoverSignal()
+    private val router = JobRouter(roster, home, peers, handover)
+    private val linkServer = LinkServer(self.entry, home, router, knowledge(), exchange, roster, scope)
     private val callers = server { config -> JobRoutes(router, drain, metrics, scope).addTo(config) }
     private val operators =
         server { config ->
             OperatorsRoutes(this, registry, settings.operatorToken).addTo(config)
-            OutcomeRoutes(router, ::otherMembers, scope).addTo(config)
+            OutcomeRoutes(router, { roster.otherMembers }, scope).addTo(config)
             SettingsRoutes(settingsKeeper, SettingsEditor(store), settings.teamTokens, drain, scope).addTo(config)
         }
     private var listener: LinkListener? = null
 
     override val ready: Boolean
-        get() = !drain.isDraining && storeReader.rosters().isNotEmpty()
+        get() = !drain.isDraining && roster.view.history != null
 
-    /** Binds all addresses and starts all parts. Throws if an address is taken. */
-    suspend fun start() {
+    override suspend fun start() {
         metrics.observeLiveJobs { jobs.liveJobs }
-        scope.launch { home.run() }
-        scope.launch { storeReader.run() }
+        scope.launchEssential(logger, EntryEvent.TASK_FAILED) { home.run() }
+        scope.launchEssential(logger, EntryEvent.TASK_FAILED) { joinOnceInformed() }
         scope.launch { settingsKeeper.run(settingsWatcher.updates()) }
         scope.launch { tick() }
         listener = LinkListener.bind(settings.linkAddress, selector, scope, settings.timing, linkServer::serve)
@@ -86,12 +95,14 @@
     }
 
     /** Claims no new jobs, answers those in flight, then stops. */
-    suspend fun stop() {
+    override suspend fun stop() {
         drain.begin()
-        home.send(HomeInput.StopClaiming)
         logger.event(EntryEvent.DRAINING, "requests" to drain.requestsInFlight)
+        val departure = Departure(self, roster, home, peers, handover)
+        departure.begin()
         val drained = withTimeoutOrNull(settings.drainMillis) { awaitDrained() }
         if (drained == null) logger.event(EntryEvent.DRAIN_TIMED_OUT, "requests" to drain.requestsInFlight)
+        departure.finish()
         callers.stop()
         operators.stop()
         listener?.close()
@@ -103,7 +114,7 @@
     override suspend fun dump(): String {
         val reply = CompletableDeferred<HomeDump>()
         home.send(HomeInput.Dump(reply))
-        return json.encodeToString(EntryDump(self, ready, drain.requestsInFlight, storeReader.rosters(), reply.await()))
+        return json.encodeToString(EntryDump(self, ready, drain.requestsInFlight, roster.view, reply.await()))
     }
 
     /** The balancer needs time to notice that `/ready` has changed; until then it sends requests. */
@@ -118,24 +129,42 @@
         return reply.await().liveJobs.size
     }
 
-    private fun rosterAdopted(roster: Roster) {
-        val position = roster.members.indexOf(self)
-        if (position >= 0) home.send(HomeInput.EntriesChanged(EntryShare(position, roster.members.size)))
+    private fun rosterTask(): RosterTask {
+        val keeper = RosterKeeper(self, RosterTiming())
+        val rosterStore = RosterStore(store, System::currentTimeMillis)
+        return RosterTask(self, keeper, rosterStore, rosterNetwork(), scope, System::currentTimeMillis)
+    }
+
+    private fun rosterInput(input: RosterInput) = roster.send(input)
+
+    private fun rosterNetwork() =
+        object : RosterNetwork {
+            override fun tell(
+                member: EntryMember,
+                message: Message,
+            ) = peers.tell(member, message)
+
+            override fun rostersChanged(history: RosterHistory) = rosterAdopted(history.newest)
+        }
+
+    private fun rosterAdopted(newest: Roster) {
+        peers.connectOnly(newest.members.filter { it.entry != self.entry })
+        home.send(HomeInput.RostersChanged(roster.newestRosters))
+        val position = newest.members.indexOf(self)
+        if (position >= 0) home.send(HomeInput.EntriesChanged(EntryShare(position, newest.members.size)))
+    }
+
+    /** Other entries forward jobs as soon as this one is in the roster, so it joins with settings in force. */
+    private suspend fun joinOnceInformed() {
+        settingsKeeper.awaitInformed()
+        roster.run()
     }
 
     private fun settingsChanged(applied: List<StoredTeamSettings>) {
         applied.forEach { home.send(HomeInput.Settings(it)) }
-        otherMembers().forEach { peers.tell(it, SettingsUpdate(applied)) }
+        roster.otherMembers.forEach { peers.tell(it, SettingsUpdate(applied)) }
     }
 
-    private fun otherMembers(): List<EntryMember> =
-        storeReader
-            .rosters()
-            .lastOrNull()
-            ?.members
-            .orEmpty()
-            .filter { it.entry != self.entry }
-
     private suspend fun tick() {
         while (true) {
             home.send(HomeInput.Tick)
@@ -145,7 +174,7 @@
 
     private fun knowledge() =
         object : SharedKnowledge {
-            override fun rosters(): List<Roster> = storeReader.rosters()
+            override fun rosters(): List<Roster> = roster.newestRosters
 
             override fun settings(): List<StoredTeamSettings> = settingsKeeper.table.all()
         }
