Split the faults of processes by victim

Cause: a known fault of entries has to be listed without listing those of agents and upstreams. Change: one test method for each victim and fault.

--- a/egretlock-testing/src/test/kotlin/io/egretlock/testing/proof/ProcessFaultTest.kt
+++ b/egretlock-testing/src/test/kotlin/io/egretlock/testing/proof/ProcessFaultTest.kt
@@ -4,14 +4,41 @@
 import org.junit.jupiter.api.AfterAll
 import org.junit.jupiter.api.BeforeAll
 import org.junit.jupiter.params.ParameterizedTest
-import org.junit.jupiter.params.provider.Arguments
-import org.junit.jupiter.params.provider.MethodSource
+import org.junit.jupiter.params.provider.EnumSource
 
 /** Kills and pauses each kind of process at each moment of a job, with resubmissions through the other entry. */
 class ProcessFaultTest {
-    @ParameterizedTest(name = "{0} {1}")
-    @MethodSource("cases")
-    fun `given jobs in flight, when a process is killed, then every promise is kept`(
+    @ParameterizedTest(name = "{0}")
+    @EnumSource
+    fun `given jobs in flight, when an entry is killed, then every promise is kept`(moment: Moment) =
+        kill(Victim.ENTRY, moment)
+
+    @ParameterizedTest(name = "{0}")
+    @EnumSource
+    fun `given jobs in flight, when an agent is killed, then every promise is kept`(moment: Moment) =
+        kill(Victim.AGENT, moment)
+
+    @ParameterizedTest(name = "{0}")
+    @EnumSource
+    fun `given jobs in flight, when an upstream is killed, then every promise is kept`(moment: Moment) =
+        kill(Victim.UPSTREAM, moment)
+
+    @ParameterizedTest(name = "{0}")
+    @EnumSource
+    fun `given jobs in flight, when an entry is paused and goes on, then every promise is kept`(moment: Moment) =
+        pause(Victim.ENTRY, moment)
+
+    @ParameterizedTest(name = "{0}")
+    @EnumSource
+    fun `given jobs in flight, when an agent is paused and goes on, then every promise is kept`(moment: Moment) =
+        pause(Victim.AGENT, moment)
+
+    @ParameterizedTest(name = "{0}")
+    @EnumSource
+    fun `given jobs in flight, when an upstream is paused and goes on, then every promise is kept`(moment: Moment) =
+        pause(Victim.UPSTREAM, moment)
+
+    private fun kill(
         victim: Victim,
         moment: Moment,
     ) {
@@ -26,9 +53,7 @@
         faulty.assertPromisesKept()
     }
 
-    @ParameterizedTest(name = "{0} {1}")
-    @MethodSource("cases")
-    fun `given jobs in flight, when a process is paused and goes on, then every promise is kept`(
+    private fun pause(
         victim: Victim,
         moment: Moment,
     ) {
@@ -43,13 +68,9 @@
         faulty.assertPromisesKept()
     }
 
-    companion object {
-        private const val PAUSE_MILLIS = 1_800L
-        private lateinit var faulty: FaultySystem
-
-        @JvmStatic
-        fun cases(): List<Arguments> =
-            Victim.entries.flatMap { victim -> Moment.entries.map { moment -> Arguments.of(victim, moment) } }
+    private companion object {
+        const val PAUSE_MILLIS = 1_800L
+        lateinit var faulty: FaultySystem
 
         @JvmStatic
         @BeforeAll
