Let the measured drain rate return to nominal without a backlog

Cause: the factor was learned only in windows with a backlog throughout; once low, admission refused every job, so that no backlog and no window ever came again (reported after cut connections: an idle system refused all jobs). Ruled out: a floor on the factor alone (any floor below the need locks as well). Change: windows without any backlog bring the factor back towards 1.

--- a/egretlock-core/src/main/kotlin/io/egretlock/core/placement/DrainRate.kt
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/placement/DrainRate.kt
@@ -2,12 +2,14 @@
 
 /**
  * Learns how fast the queue drains, as a factor on the nominal rate of the known agents. Only windows that have a
- * backlog throughout count, because otherwise the rate is that of the arrivals.
+ * backlog throughout are measured, because otherwise the rate is that of the arrivals. Windows without any backlog bring
+ * the factor back towards 1: a factor that makes admission refuse all jobs would never be measured again.
  */
 internal class DrainRate {
     private var windowStartMillis = Long.MIN_VALUE
     private var finishedMillis = 0.0
     private var hadBacklogThroughout = false
+    private var hadNoBacklog = false
 
     /** Measured rate relative to the nominal one. */
     var factor = 1.0
@@ -24,20 +26,27 @@
         hasBacklog: Boolean,
         nominalRate: Double,
     ) {
-        if (!hasBacklog) hadBacklogThroughout = false
+        if (hasBacklog) hadNoBacklog = false else hadBacklogThroughout = false
         if (windowStartMillis != Long.MIN_VALUE && nowMillis - windowStartMillis < WINDOW_MILLIS) return
-        if (hadBacklogThroughout && nominalRate > 0) learn(nowMillis - windowStartMillis, nominalRate)
+        when {
+            hadBacklogThroughout && nominalRate > 0 -> learn(nowMillis - windowStartMillis, nominalRate)
+            hadNoBacklog -> approach(1.0)
+        }
         windowStartMillis = nowMillis
         finishedMillis = 0.0
         hadBacklogThroughout = hasBacklog
+        hadNoBacklog = !hasBacklog
     }
 
     private fun learn(
         elapsedMillis: Long,
         nominalRate: Double,
     ) {
-        val measured = finishedMillis / elapsedMillis / nominalRate
-        factor = (factor + FACTOR_WEIGHT * (measured - factor)).coerceIn(SMALLEST_FACTOR, LARGEST_FACTOR)
+        approach(finishedMillis / elapsedMillis / nominalRate)
+    }
+
+    private fun approach(target: Double) {
+        factor = (factor + FACTOR_WEIGHT * (target - factor)).coerceIn(SMALLEST_FACTOR, LARGEST_FACTOR)
     }
 
     private companion object {
