Let a settings watch of the store stand-in wait for its own range

Cause: an idle entry took 24% of a core (243 ticks in 10 s), all in the thread that reads the settings watch; the stand-in waited for any change of any key, so that after the first write of the roster each watch spun, in the stand-in and in each entry. Ruled out: the home's tick and the roster's reads (other threads took 6 ticks each). Change: the wait goes on until a change of the range.

--- a/egretlock-testing/src/main/kotlin/io/egretlock/testing/store/StoreHistory.kt
+++ b/egretlock-testing/src/main/kotlin/io/egretlock/testing/store/StoreHistory.kt
@@ -51,7 +51,7 @@
     /** Forgets every change after [lastRevision], as a store does that is restored from a backup. */
     fun restore(lastRevision: Long) = synchronized(monitor) { changes.removeIf { it.revision > lastRevision } }
 
-    /** Changes of the range after [afterRevision]; waits up to [waitMillis] for the first. */
+    /** Changes of the range after [afterRevision]; waits up to [waitMillis] for the first one of the range. */
     fun changesAfter(
         from: String,
         until: String?,
@@ -59,10 +59,21 @@
         waitMillis: Long,
     ): List<StoreEntry> =
         synchronized(monitor) {
-            if (revision <= afterRevision) monitor.wait(waitMillis)
-            changes.filter { it.revision > afterRevision && inRange(it.key, from, until) }
+            val endNanos = System.nanoTime() + waitMillis * NANOS_PER_MILLI
+            var found = changesOf(from, until, afterRevision)
+            while (found.isEmpty() && System.nanoTime() < endNanos) {
+                monitor.wait((endNanos - System.nanoTime()) / NANOS_PER_MILLI + 1)
+                found = changesOf(from, until, afterRevision)
+            }
+            found
         }
 
+    private fun changesOf(
+        from: String,
+        until: String?,
+        afterRevision: Long,
+    ): List<StoreEntry> = changes.filter { it.revision > afterRevision && inRange(it.key, from, until) }
+
     private fun append(
         key: String,
         value: String?,
@@ -79,5 +90,6 @@
 
     private companion object {
         const val EMPTY_REVISION = 1L
+        const val NANOS_PER_MILLI = 1_000_000L
     }
 }
