--- a/egretlock-agent/src/main/kotlin/io/egretlock/agent/Agent.kt
+++ b/egretlock-agent/src/main/kotlin/io/egretlock/agent/Agent.kt
@@ -112,7 +112,7 @@
         connection: EntryConnection,
     ) {
         earlier.link.close()
-        ledger.disconnected(connection.entry)
+        connections.send(ledger.disconnected(connection.entry))
         if (earlier.address == connection.address) return
         logger.event(AgentEvent.ENTRY_REDUNDANT, "entry" to earlier.entry, "address" to earlier.address)
     }
--- a/egretlock-core/src/main/kotlin/io/egretlock/core/roster/RosterInput.kt
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/roster/RosterInput.kt
@@ -59,9 +59,10 @@
         val member: EntryMember,
     ) : RosterInput
 
-    /** All claims of [entries], an entry that left and those it had inherited from, are here now. */
+    /** All claims of [entries], an entry that leaves and those it had inherited from, are here now by [handover]. */
     data class ClaimsInherited(
         val entries: Set<ProcessId>,
+        val handover: Handover,
     ) : RosterInput
 
     /** This entry stops claiming and gives its claims to [heir]; null if it is the last. Only the first counts. */
--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/EntryEvent.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/EntryEvent.kt
@@ -13,7 +13,7 @@
     DRAINING(1001, Level.INFO, "Draining: no new jobs are accepted."),
     STOPPED(1002, Level.INFO, "Entry stopped."),
     DRAIN_TIMED_OUT(1003, Level.WARN, "Draining took too long; jobs were left."),
-    TASK_FAILED(1004, Level.ERROR, "The home's own task failed; the process ends."),
+    TASK_FAILED(1004, Level.ERROR, "A task that the entry cannot do without failed; the process ends."),
     AGENT_CONNECTED(1100, Level.INFO, "Agent connected."),
     AGENT_DISCONNECTED(1101, Level.WARN, "Connection to an agent ended."),
     PEER_CONNECTED(1110, Level.INFO, "Connected to another entry."),
@@ -25,5 +25,7 @@
     SETTINGS_EDITED(1204, Level.INFO, "An operator's edit of settings ended."),
     STORE_OLDER_STATE(1205, Level.ERROR, "The store answered from an older state, which is not followed."),
     STORE_UNAVAILABLE(1300, Level.WARN, "The key-value service did not answer."),
-    ROSTER_ADOPTED(1400, Level.INFO, "A roster was adopted."),
+    ROSTER_ADOPTED(1400, Level.INFO, "A roster or a handover became known."),
+    HANDED_OVER(1401, Level.INFO, "All claims were handed to another entry."),
+    HANDOVER_FAILED(1402, Level.WARN, "Claims could not be handed over; their jobs are answered as may have run."),
 }
