--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/RosterTask.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/RosterTask.kt
@@ -11,6 +11,7 @@
 import io.egretlock.core.roster.RosterOutput
 import io.egretlock.core.roster.RosterView
 import io.egretlock.process.event
+import io.egretlock.process.launchEssential
 import io.egretlock.protocol.HistoryUpdate
 import io.egretlock.protocol.JoinRequest
 import io.egretlock.protocol.Message
@@ -127,8 +128,8 @@
 
     private fun carryOut(output: RosterOutput) {
         when (output) {
-            is RosterOutput.ReadStore -> scope.launch { send(store.read()) }
-            is RosterOutput.Publish -> scope.launch { publish(output) }
+            is RosterOutput.ReadStore -> scope.launchEssential(logger, EntryEvent.TASK_FAILED) { send(store.read()) }
+            is RosterOutput.Publish -> scope.launchEssential(logger, EntryEvent.TASK_FAILED) { publish(output) }
             is RosterOutput.AskPromises -> output.members.forEach { network.tell(it, PromiseRequest(output.question)) }
             is RosterOutput.GivePromise ->
                 otherMembers
