--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/EntryProcess.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/EntryProcess.kt
@@ -86,7 +86,7 @@
         metrics.observeLiveJobs { jobs.liveJobs }
         scope.launchEssential(logger, EntryEvent.TASK_FAILED) { home.run() }
         scope.launchEssential(logger, EntryEvent.TASK_FAILED) { joinOnceInformed() }
-        scope.launch { settingsKeeper.run(settingsWatcher.updates()) }
+        scope.launchEssential(logger, EntryEvent.TASK_FAILED) { settingsKeeper.run(settingsWatcher.updates()) }
         scope.launch { tick() }
         listener = LinkListener.bind(settings.linkAddress, selector, scope, settings.timing, linkServer::serve)
         callers.start(settings.callersAddress.host, settings.callersAddress.port)
--- a/egretlock-entry/src/test/kotlin/io/egretlock/entry/EntryProcessTest.kt
+++ b/egretlock-entry/src/test/kotlin/io/egretlock/entry/EntryProcessTest.kt
@@ -20,6 +20,7 @@
 import java.net.InetAddress
 import java.net.ServerSocket
 import java.util.concurrent.atomic.AtomicInteger
+import java.util.concurrent.atomic.AtomicReference
 
 class EntryProcessTest {
     private val store = GatedStore()
@@ -59,11 +60,12 @@
         return NodeAddress("127.0.0.1", port)
     }
 
-    /** An empty store that answers reads of settings only once [settingsOpen] is complete. */
+    /** A store without settings that answers reads of settings only once [settingsOpen] is complete. */
     private class GatedStore : KeyValueStore {
         val settingsAsked = CompletableDeferred<Unit>()
         val settingsOpen = CompletableDeferred<Unit>()
         val rosterWrites = AtomicInteger()
+        private val roster = AtomicReference<StoreEntry?>()
 
         override suspend fun read(
             prefix: String,
@@ -72,8 +74,10 @@
             if (prefix.startsWith("/egretlock/settings/")) {
                 settingsAsked.complete(Unit)
                 settingsOpen.await()
+                return StoreSnapshot(emptyList(), revision = 1)
             }
-            return StoreSnapshot(emptyList(), revision = 1)
+            val present = roster.get()
+            return StoreSnapshot(listOfNotNull(present), revision = present?.revision ?: 1)
         }
 
         override suspend fun compareAndSwap(
@@ -81,8 +85,11 @@
             expectedRevision: Long,
             value: String,
         ): SwapResult {
-            rosterWrites.incrementAndGet()
-            return SwapResult.Stored(2)
+            val present = roster.get()
+            if ((present?.revision ?: 0) != expectedRevision) return SwapResult.Conflict(present)
+            val revision = 1L + rosterWrites.incrementAndGet()
+            roster.set(StoreEntry(key, value, revision))
+            return SwapResult.Stored(revision)
         }
 
         override fun watch(
