--- a/egretlock-testing/src/test/kotlin/io/egretlock/testing/proof/FaultySystem.kt
+++ b/egretlock-testing/src/test/kotlin/io/egretlock/testing/proof/FaultySystem.kt
@@ -54,6 +54,7 @@
     fun bringTo(moment: Moment) {
         submitted.clear()
         replies.clear()
+        awaitSettled()
         when (moment) {
             Moment.AT_REST -> Unit
             Moment.QUEUED -> submitAll(jobs = 6, tasks = SLOTS, runMillis = 700)
@@ -132,6 +133,14 @@
         }
     }
 
+    /** Waits until no new job is refused, as jobs of a lost entry are until its successor roster takes effect. */
+    private fun awaitSettled() =
+        Await.until("no new job is refused") {
+            val probes =
+                List(PROBES) { number -> system.submit(system.entries[number % 2], Jobs.id(), Jobs.job(tasks = 1)) }
+            probes.map { it.join() }.all { it is JobReply.Complete }
+        }
+
     override fun close() = system.close()
 
     private fun startsOfSubmitted(): Int {
@@ -146,6 +155,7 @@
 
     private companion object {
         const val SLOTS = 4
+        const val PROBES = 8
         const val DEADLINE_MILLIS = 6_000L
         const val REPLY_MILLIS = 10_000L
         const val SERVE_MILLIS = 10_000L
