Wait a moment for an heir before leaving without one

The new first entry was no member either when the second was told to stop. Ruled out: a fault of the handover (none was tried); readiness only as a member (an entry that starts in a store outage would not serve although it can forward). Change: the leaver goes on claiming for up to 2 s until a member appears.

--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/Departure.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/Departure.kt
@@ -29,9 +29,12 @@
 ) {
     private var heir: EntryMember? = null
 
-    /** Hands over to an heir. Where there is none, new jobs are refused from now on. */
+    /**
+     * Hands over to an heir. Another entry that has just started may need a moment to become a member; until then this
+     * one goes on claiming. Where no heir appears, new jobs are refused from now on.
+     */
     suspend fun begin() {
-        val chosen = roster.reachableMember()
+        val chosen = withTimeoutOrNull(HEIR_MILLIS) { awaitReachableMember() }
         heir = chosen
         if (chosen == null) {
             home.send(HomeInput.StopClaiming)
@@ -56,6 +59,15 @@
         }
     }
 
+    private suspend fun awaitReachableMember(): EntryMember {
+        var member = roster.reachableMember()
+        while (member == null) {
+            delay(CHECK_MILLIS)
+            member = roster.reachableMember()
+        }
+        return member
+    }
+
     private suspend fun leaveAlone() {
         roster.sendAndAwait(RosterInput.Leave(null))
         while (roster.view.isMember) delay(CHECK_MILLIS)
@@ -83,6 +95,7 @@
     private companion object {
         const val CLAIMS_PER_MESSAGE = 200
         const val CALL_MILLIS = 5_000L
+        const val HEIR_MILLIS = 2_000L
         const val LEAVE_MILLIS = 3_000L
         const val CHECK_MILLIS = 20L
     }
