Let upstreams hang only after the system has settled

Cause: the test made all upstreams hang and then waited for probe jobs to complete, which they cannot; it was red in the whole run of (30 s). Ruled out: a fault of the system (a hanging upstream never answers by definition). Change: the set-up runs a preparation between the probes and the new jobs.

--- a/egretlock-testing/src/test/kotlin/io/egretlock/testing/proof/FaultySystem.kt
+++ b/egretlock-testing/src/test/kotlin/io/egretlock/testing/proof/FaultySystem.kt
@@ -50,11 +50,18 @@
 
     private val upstream = agent.upstream as ProcessUpstream
 
-    /** Forgets earlier jobs, submits new ones and waits until they are as far as [moment] says. */
-    fun bringTo(moment: Moment) {
+    /**
+     * Forgets earlier jobs, submits new ones and waits until they are as far as [moment] says. [prepare] runs once the
+     * system serves, before the new jobs.
+     */
+    fun bringTo(
+        moment: Moment,
+        prepare: () -> Unit = {},
+    ) {
         submitted.clear()
         replies.clear()
         awaitSettled()
+        prepare()
         when (moment) {
             Moment.AT_REST -> Unit
             Moment.QUEUED -> submitAll(jobs = 6, tasks = SLOTS, runMillis = 700)
--- a/egretlock-testing/src/test/kotlin/io/egretlock/testing/proof/LinkFaultTest.kt
+++ b/egretlock-testing/src/test/kotlin/io/egretlock/testing/proof/LinkFaultTest.kt
@@ -70,8 +70,9 @@
 
     @Test
     fun `given hanging upstreams, when an agent is killed twice, then every promise is kept`() {
-        faulty.system.agents.forEach { it.upstream.changeMode(UpstreamMode.HANG) }
-        faulty.bringTo(Moment.STARTED)
+        faulty.bringTo(Moment.STARTED) {
+            faulty.system.agents.forEach { it.upstream.changeMode(UpstreamMode.HANG) }
+        }
         repeat(2) {
             faulty.agent.process.signal(ProcessSignal.KILL)
             faulty.agent.process.awaitExit()
