--- a/egretlock-agent/src/main/kotlin/io/egretlock/agent/Main.kt
+++ b/egretlock-agent/src/main/kotlin/io/egretlock/agent/Main.kt
@@ -1,11 +1,10 @@
 package io.egretlock.agent
 
 import io.egretlock.process.CommandLine
-import io.egretlock.process.EXIT_USAGE
 import io.egretlock.process.LogSetup
+import io.egretlock.process.program
 import io.egretlock.process.serve
 
-private const val VERSION = "0.1.0"
 private const val USAGE =
     """Usage: egretlock-agent COMMAND [FLAGS]
 
@@ -20,20 +19,18 @@
 
 private val commandLine = CommandLine("egretlock-agent")
 
-/** Entry point of `egretlock-agent`. */
-fun main(arguments: Array<String>) {
-    val flags = arguments.drop(1)
-    when (arguments.firstOrNull()) {
-        "run" -> run(commandLine.readSettings("run", flags, AgentSettings.ALL, AgentSettings::read))
-        "check" -> check(flags)
-        "dump" -> dump(flags)
-        "--version" -> println("egretlock-agent $VERSION")
-        "--help", "-h" -> println(USAGE)
-        else -> commandLine.fail(EXIT_USAGE, listOf(USAGE))
+private val program =
+    program("egretlock-agent", USAGE) {
+        command("run", ::run)
+        command("check", ::check)
+        command("dump", ::dump)
     }
-}
 
-private fun run(settings: AgentSettings) {
+/** Entry point of `egretlock-agent`. */
+fun main(arguments: Array<String>) = program.run(arguments)
+
+private fun run(flags: List<String>) {
+    val settings = commandLine.readSettings("run", flags, AgentSettings.ALL, AgentSettings::read)
     LogSetup.apply(settings.logFormat)
     commandLine.serve(AgentProcess(settings))
 }
--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/HomeTask.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/HomeTask.kt
@@ -6,13 +6,10 @@
 import io.egretlock.core.job.JobId
 import io.egretlock.core.job.JobOutcome
 import io.egretlock.core.job.ProcessId
-import io.egretlock.core.job.TaskId
 import io.egretlock.core.job.TeamName
-import io.egretlock.core.placement.AgentView
 import io.egretlock.core.roster.EntryMember
 import io.egretlock.core.settings.StoredTeamSettings
 import io.egretlock.process.event
-import io.egretlock.protocol.Acknowledge
 import io.egretlock.protocol.AttemptState
 import io.egretlock.protocol.Cancel
 import io.egretlock.protocol.CreditGrant
@@ -20,7 +17,6 @@
 import io.egretlock.protocol.CreditRequest
 import io.egretlock.protocol.CreditReturn
 import io.egretlock.protocol.Finished
-import io.egretlock.protocol.Link
 import io.egretlock.protocol.Message
 import io.egretlock.protocol.OutcomeReport
 import io.egretlock.protocol.ProcessRevision
@@ -29,7 +25,6 @@
 import io.egretlock.protocol.RevokeReply
 import io.egretlock.protocol.RosterUpdate
 import io.egretlock.protocol.SettingsApplied
-import io.egretlock.protocol.SettingsRevision
 import io.egretlock.protocol.SettingsUpdate
 import io.egretlock.protocol.Start
 import io.egretlock.protocol.StartRefused
@@ -53,12 +48,11 @@
     private val nowMillis: () -> Long,
 ) {
     private val inputs = Channel<HomeInput>(Channel.UNLIMITED)
-    private val agents = linkedMapOf<ProcessId, ConnectedAgent>()
+    private val agents = ConnectedAgents(metrics)
     private val waiters = mutableMapOf<JobId, MutableList<CompletableDeferred<SubmitReply>>>()
     private val settings = linkedMapOf<TeamName, StoredTeamSettings>()
     private val counts = OutcomeCounts()
     private val custody = ClaimCustody(self)
-    private val acknowledged = linkedMapOf<ProcessId, MutableList<TaskId>>()
 
     /** Queues an input. */
     fun send(input: HomeInput) {
@@ -88,7 +82,14 @@
             is HomeInput.Cancel -> input.reply.complete(home.cancel(input.job, nowMillis()))
             is HomeInput.Query -> input.reply.complete(home.state(input.job))
             is HomeInput.AgentOpened -> agentOpened(input)
-            is HomeInput.FromAgent -> if (isCurrent(input.link, input.agent)) fromAgent(input.agent, input.message)
+            is HomeInput.FromAgent ->
+                if (agents.isCurrent(
+                        input.link,
+                        input.agent,
+                    )
+                ) {
+                    fromAgent(input.agent, input.message)
+                }
             is HomeInput.AgentClosed -> agentClosed(input)
             is HomeInput.Settings -> applySettings(input.stored)
             is HomeInput.Outcomes -> input.reply.complete(outcomes(input.team))
@@ -103,7 +104,7 @@
             is HomeInput.StopClaiming -> home.stopClaiming()
             is HomeInput.HandOver -> handOver(input)
             is HomeInput.Inherit -> inherit(input)
-            is HomeInput.RostersChanged -> agents.values.forEach { it.link.send(RosterUpdate(input.rosters)) }
+            is HomeInput.RostersChanged -> agents.sendAll(RosterUpdate(input.rosters))
             is HomeInput.EntriesChanged -> home.entriesChanged(input.share)
         }
     }
@@ -141,28 +142,17 @@
     }
 
     private fun agentOpened(input: HomeInput.AgentOpened) {
-        val view = input.announcement?.let { AgentView(input.agent, input.failureDomain, it) }
-        agents[input.agent]?.let { replaced ->
-            replaced.link.close()
-            home.agentDisconnected(input.agent, nowMillis())
-        }
-        agents[input.agent] = ConnectedAgent(input, view)
-        home.agentConnected(input.agent, view, nowMillis())
+        if (agents.open(input)) home.agentDisconnected(input.agent, nowMillis())
+        home.agentConnected(input.agent, agents.viewOf(input.agent), nowMillis())
         logger.event(EntryEvent.AGENT_CONNECTED, "agent" to input.agent, "service" to input.announcement?.service)
     }
 
     private fun agentClosed(input: HomeInput.AgentClosed) {
-        if (!isCurrent(input.link, input.agent)) return
-        agents.remove(input.agent)
+        if (!agents.close(input.link, input.agent)) return
         home.agentDisconnected(input.agent, nowMillis())
         logger.event(EntryEvent.AGENT_DISCONNECTED, "agent" to input.agent)
     }
 
-    private fun isCurrent(
-        link: Link,
-        agent: ProcessId,
-    ): Boolean = agents[agent]?.link === link
-
     private fun fromAgent(
         agent: ProcessId,
         message: Message,
@@ -174,16 +164,9 @@
             is CreditRecall -> home.creditsRecalled(agent, message.count)
             is Finished -> finished(agent, message)
             is StartRefused -> home.attemptNeverStarts(agent, message.attempt, nowMillis())
-            is RevokeReply ->
-                if (!message.started) {
-                    home.attemptNeverStarts(
-                        agent,
-                        message.attempt,
-                        nowMillis(),
-                    )
-                }
+            is RevokeReply -> revoked(agent, message)
             is ReconcileReply -> reconciled(agent, message)
-            is SettingsApplied -> agents.getValue(agent).applied(message.revisions)
+            is SettingsApplied -> agents.applied(agent, message.revisions)
             else -> Unit
         }
     }
@@ -192,9 +175,15 @@
         agent: ProcessId,
         message: UpstreamUpdate,
     ) {
-        val connected = agents.getValue(agent)
-        connected.view = message.announcement?.let { AgentView(agent, connected.opened.failureDomain, it) }
-        home.agentConnected(agent, connected.view, nowMillis())
+        agents.announced(agent, message.announcement)
+        home.agentConnected(agent, agents.viewOf(agent), nowMillis())
+    }
+
+    private fun revoked(
+        agent: ProcessId,
+        message: RevokeReply,
+    ) {
+        if (!message.started) home.attemptNeverStarts(agent, message.attempt, nowMillis())
     }
 
     private fun finished(
@@ -219,25 +208,24 @@
         if (known != null && known.revision >= stored.revision) return
         settings[stored.settings.team] = stored
         home.applySettings(stored)
-        agents.values.forEach { it.link.send(SettingsUpdate(listOf(stored))) }
+        agents.sendAll(SettingsUpdate(listOf(stored)))
         logger.event(EntryEvent.SETTINGS_APPLIED, "team" to stored.settings.team, "revision" to stored.revision)
     }
 
     private fun carryOut(effects: List<HomeEffect>) {
         effects.forEach(::carryOut)
-        acknowledged.forEach { (agent, tasks) -> send(agent, Acknowledge(tasks)) }
-        acknowledged.clear()
+        agents.sendAcknowledgements()
     }
 
     private fun carryOut(effect: HomeEffect) {
         when (effect) {
             is HomeEffect.JobEnded -> jobEnded(effect)
-            is HomeEffect.StartTask -> send(effect.agent, effect.toMessage())
-            is HomeEffect.AcknowledgeTask -> acknowledged.getOrPut(effect.agent) { mutableListOf() } += effect.task
-            is HomeEffect.CancelTask -> send(effect.agent, Cancel(effect.task))
-            is HomeEffect.ReconcileTasks -> send(effect.agent, Reconcile(effect.attempts))
-            is HomeEffect.RequestCredits -> send(effect.agent, CreditRequest(effect.wanted))
-            is HomeEffect.ReturnCredits -> send(effect.agent, CreditReturn(effect.count))
+            is HomeEffect.StartTask -> agents.send(effect.agent, effect.toMessage())
+            is HomeEffect.AcknowledgeTask -> agents.acknowledge(effect.agent, effect.task)
+            is HomeEffect.CancelTask -> agents.send(effect.agent, Cancel(effect.task))
+            is HomeEffect.ReconcileTasks -> agents.send(effect.agent, Reconcile(effect.attempts))
+            is HomeEffect.RequestCredits -> agents.send(effect.agent, CreditRequest(effect.wanted))
+            is HomeEffect.ReturnCredits -> agents.send(effect.agent, CreditReturn(effect.count))
         }
     }
 
@@ -250,58 +238,20 @@
         OutcomeReport(
             entry = self.entry,
             outcomes = counts.of(team),
-            revisions =
-                listOf(ProcessRevision(self.entry, settings[team]?.revision ?: 0)) +
-                    agents.map { (agent, connected) -> ProcessRevision(agent, connected.revisions[team] ?: 0) },
+            revisions = listOf(ProcessRevision(self.entry, settings[team]?.revision ?: 0)) + agents.revisionsOf(team),
         )
 
-    private fun send(
-        agent: ProcessId,
-        message: Message,
-    ) {
-        agents[agent]?.link?.send(message)
-        metrics.sent(message.kind())
-    }
-
     private fun dump() =
         HomeDump(
             liveJobs = home.liveJobIds(),
             rememberedJobs = home.rememberedJobs,
-            agents =
-                agents.map { (agent, connected) ->
-                    AgentDump(
-                        agent,
-                        connected.view
-                            ?.upstream
-                            ?.service
-                            ?.value,
-                        connected.view?.upstream?.slots ?: 0,
-                    )
-                },
+            agents = agents.dump(),
             settings = settings.values.toList(),
         )
 
     private companion object {
         const val MOST_INPUTS_AT_ONCE = 64
     }
-
-    private class ConnectedAgent(
-        val opened: HomeInput.AgentOpened,
-        var view: AgentView?,
-    ) {
-        val link = opened.link
-        val revisions = mutableMapOf<TeamName, Long>()
-
-        init {
-            applied(opened.revisions)
-        }
-
-        fun applied(applied: List<SettingsRevision>) {
-            applied.forEach { revisions[it.team] = it.revision }
-        }
-    }
 }
 
-private fun Message.kind(): String = this::class.simpleName.orEmpty()
-
 private fun HomeEffect.StartTask.toMessage() = Start(attempt, team, specification, remainingMillis)
--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/Main.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/Main.kt
@@ -3,11 +3,10 @@
 import io.egretlock.platform.etcd.EtcdStore
 import io.egretlock.platform.etcd.EtcdStoreSettings
 import io.egretlock.process.CommandLine
-import io.egretlock.process.EXIT_USAGE
 import io.egretlock.process.LogSetup
+import io.egretlock.process.program
 import io.egretlock.process.serve
 
-private const val VERSION = "0.1.0"
 private const val USAGE =
     """Usage: egretlock-entry COMMAND [FLAGS]
 
@@ -25,21 +24,19 @@
 
 private val commandLine = CommandLine("egretlock-entry")
 
-/** Entry point of `egretlock-entry`. */
-fun main(arguments: Array<String>) {
-    val flags = arguments.drop(1)
-    when (arguments.firstOrNull()) {
-        "run" -> run(commandLine.readSettings("run", flags, EntrySettings.ALL, EntrySettings::read))
-        "check" -> check(flags)
-        "dump" -> dump(flags)
-        "settings" -> SettingsCommand(commandLine).run(flags)
-        "--version" -> println("egretlock-entry $VERSION")
-        "--help", "-h" -> println(USAGE)
-        else -> commandLine.fail(EXIT_USAGE, listOf(USAGE))
+private val program =
+    program("egretlock-entry", USAGE) {
+        command("run", ::run)
+        command("check", ::check)
+        command("dump", ::dump)
+        command("settings") { flags -> SettingsCommand(commandLine).run(flags) }
     }
-}
 
-private fun run(settings: EntrySettings) {
+/** Entry point of `egretlock-entry`. */
+fun main(arguments: Array<String>) = program.run(arguments)
+
+private fun run(flags: List<String>) {
+    val settings = commandLine.readSettings("run", flags, EntrySettings.ALL, EntrySettings::read)
     LogSetup.apply(settings.logFormat)
     commandLine.serve(EntryProcess(settings, EtcdStore(EtcdStoreSettings(settings.storeAddresses))))
 }
