Search the interleavings of the settings table again

Cause: had replaced Lincheck's model checking by stress to save time, which is a weaker search. Change: both run; model checking with its first bounds.

--- a/egretlock-core/src/test/kotlin/io/egretlock/core/settings/SettingsTableTest.kt
+++ b/egretlock-core/src/test/kotlin/io/egretlock/core/settings/SettingsTableTest.kt
@@ -2,6 +2,7 @@
 
 import io.egretlock.core.job.TeamName
 import org.jetbrains.lincheck.datastructures.IntGen
+import org.jetbrains.lincheck.datastructures.ModelCheckingOptions
 import org.jetbrains.lincheck.datastructures.Operation
 import org.jetbrains.lincheck.datastructures.Param
 import org.jetbrains.lincheck.datastructures.StressOptions
@@ -45,6 +46,15 @@
             .actorsPerThread(2)
             .check(SharedTable::class)
 
+    @Test
+    fun `given every interleaving, when callers apply and read, then some serial order explains all results`() =
+        ModelCheckingOptions()
+            .iterations(ITERATIONS)
+            .invocationsPerIteration(INTERLEAVINGS)
+            .threads(2)
+            .actorsPerThread(2)
+            .check(SharedTable::class)
+
     /** The table's operations as Lincheck calls them. */
     @Param(name = "revision", gen = IntGen::class, conf = "1:4")
     class SharedTable {
@@ -70,6 +80,7 @@
     private companion object {
         const val ITERATIONS = 20
         const val INVOCATIONS = 5_000
+        const val INTERLEAVINGS = 200
     }
 }
 
