Ask the heir about a forwarded job whose home left meanwhile

A request that one entry had forwarded to another was not counted by the drain of that other entry, which closed its connections before the reply was sent or the request was read; the forwarding entry then took the home for lost, although the heir knew the job or could claim it.

Ruled out: the rosters (the reply comes from the router's call, not from HereUnconfirmed or Lost) and the handover (it had succeeded).

Change: a drain counts forwarded jobs. A forwarding entry whose call ends without a reply locates the job again and asks the heir, once, within the rest of the deadline; joining by id makes the repetition harmless. A call made while its connection is being stopped ends at once; before, it waited until its deadline, since nobody read it any more.

Before: JobRouterTest 2 of 4 red without the second location. After: JobRouterTest and EntryProcessTest green.

--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/EntryProcess.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/EntryProcess.kt
@@ -68,8 +68,8 @@
         PeerConnections(EntryHello(self.entry, self.address), exchange, selector, settings.timing, scope)
     private val roster = rosterTask()
     private val handover = HandoverSignal()
-    private val router = JobRouter(roster, home, peers, handover)
-    private val linkServer = LinkServer(self.entry, home, router, knowledge(), exchange, roster, scope)
+    private val router = JobRouter(roster, home, peers, handover, ::monotonicMillis)
+    private val linkServer = LinkServer(self.entry, home, router, knowledge(), exchange, roster, drain, scope)
     private val callers = server { config -> JobRoutes(router, drain, metrics, scope).addTo(config) }
     private val operators =
         server { config ->
--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/JobRouter.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/JobRouter.kt
@@ -19,12 +19,17 @@
 import io.egretlock.protocol.OutcomesRequest
 import kotlinx.coroutines.CompletableDeferred
 
-/** Brings each request about a job to the job's home, here or at another entry. */
+/**
+ * Brings each request about a job to the job's home, here or at another entry.
+ *
+ * @property nowMillis monotonic clock in milliseconds.
+ */
 internal class JobRouter(
     private val locator: JobLocator,
     private val home: HomeTask,
-    private val peers: PeerConnections,
+    private val peers: PeerCalls,
     private val handover: HandoverSignal = HandoverSignal(),
+    private val nowMillis: () -> Long,
 ) {
     /** Submits or joins [job] and waits for its outcome. */
     suspend fun submit(
@@ -55,13 +60,20 @@
         job: Job,
         remainingMillis: Long,
         unlessKnown: Verdict? = null,
-    ): JobOutcome {
-        val reply = CompletableDeferred<SubmitReply>()
-        home.send(HomeInput.Submit(job, remainingMillis, reply, unlessKnown))
-        return when (val answer = reply.await()) {
+    ): JobOutcome =
+        when (val answer = askHome(job, remainingMillis, unlessKnown)) {
             is SubmitReply.Ended -> answer.outcome
             is SubmitReply.Moved -> submitMoved(answer.member, job, remainingMillis)
         }
+
+    private suspend fun askHome(
+        job: Job,
+        remainingMillis: Long,
+        unlessKnown: Verdict?,
+    ): SubmitReply {
+        val reply = CompletableDeferred<SubmitReply>()
+        home.send(HomeInput.Submit(job, remainingMillis, reply, unlessKnown))
+        return reply.await()
     }
 
     /** Cancels a job; null if its home does not know it. */
@@ -144,11 +156,45 @@
         job: Job,
         remainingMillis: Long,
     ): JobOutcome {
+        val untilMillis = nowMillis() + remainingMillis
+        return forward(member, job, remainingMillis) ?: submitAfterLoss(member, job, untilMillis - nowMillis())
+    }
+
+    private suspend fun forward(
+        member: EntryMember,
+        job: Job,
+        remainingMillis: Long,
+    ): JobOutcome? {
         val reply =
             peers.call(member, remainingMillis + CALL_MILLIS) { request -> ForwardJob(request, job, remainingMillis) }
-        return (reply as? ForwardReply)?.outcome ?: homeLost(member)
+        return (reply as? ForwardReply)?.outcome
+    }
+
+    /** A home that left while it was asked has an heir by now, which knows the job or may claim it. */
+    private suspend fun submitAfterLoss(
+        lost: EntryMember,
+        job: Job,
+        remainingMillis: Long,
+    ): JobOutcome {
+        if (remainingMillis <= 0) return homeLost(lost)
+        val outcome =
+            when (val location = locator.locate(job.id, job.createdAtMillis)) {
+                is JobLocation.Here -> endedHere(job, remainingMillis, unlessKnown = null)
+                is JobLocation.HereIfKnown -> endedHere(job, remainingMillis, location.otherwise)
+                is JobLocation.Nowhere -> null
+                is JobLocation.Elsewhere ->
+                    location.member.takeIf { it != lost }?.let { forward(it, job, remainingMillis) }
+            }
+        return outcome ?: homeLost(lost)
     }
 
+    /** Submits or joins [job] at this entry; null if another one holds it. */
+    private suspend fun endedHere(
+        job: Job,
+        remainingMillis: Long,
+        unlessKnown: Verdict?,
+    ): JobOutcome? = (askHome(job, remainingMillis, unlessKnown) as? SubmitReply.Ended)?.outcome
+
     private fun moved(member: EntryMember) =
         Verdict.MayHaveRun(Reason.NO_AUTHORITY, "The home of the job has become entry '${member.entry}'.")
 
--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/LinkServer.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/LinkServer.kt
@@ -33,6 +33,7 @@
     private val knowledge: SharedKnowledge,
     private val exchange: PeerExchange,
     private val roster: RosterTask,
+    private val drain: Drain,
     private val scope: CoroutineScope,
 ) {
     /** Serves one connection until it ends. */
@@ -81,8 +82,7 @@
         message: Message,
     ) {
         when (message) {
-            is ForwardJob ->
-                link.send(ForwardReply(message.request, router.submitForwarded(message.job, message.remainingMillis)))
+            is ForwardJob -> counted { answerJob(link, message) }
             is ForwardCancel -> link.send(ForwardReply(message.request, router.cancelHere(message.job) ?: unknownJob()))
             is ForwardQuery -> link.send(ForwardStateReply(message.request, router.stateHere(message.job)))
             is OutcomesRequest -> link.send(OutcomesReply(message.request, router.outcomesHere(message.team)))
@@ -91,6 +91,21 @@
         }
     }
 
+    /** A drain waits for the answers to forwarded jobs as it does for those to callers. */
+    private suspend fun counted(body: suspend () -> Unit) {
+        drain.enter()
+        try {
+            body()
+        } finally {
+            drain.leave()
+        }
+    }
+
+    private suspend fun answerJob(
+        link: Link,
+        message: ForwardJob,
+    ) = link.send(ForwardReply(message.request, router.submitForwarded(message.job, message.remainingMillis)))
+
     private suspend fun inherit(handover: ClaimHandover): Boolean {
         val reply = CompletableDeferred<Boolean>()
         home.send(HomeInput.Inherit(handover.claims, handover.running, reply))
--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/PeerConnection.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/PeerConnection.kt
@@ -51,13 +51,13 @@
         commands.trySend(Command.Stop)
     }
 
-    /** Waits for the reply to [request]; null once the other entry has been unreachable for too long. */
+    /** Waits for the reply to [request]; null once the other entry was unreachable for too long, or after [stop]. */
     suspend fun call(
         request: Long,
         message: Message,
     ): Message? {
         val call = Command.Call(request, message, CompletableDeferred())
-        commands.send(call)
+        if (commands.trySend(call).isFailure) return null
         return call.reply.await()
     }
 
@@ -157,12 +157,19 @@
             }
             is Command.Tell -> command.message
             is Command.Stop -> {
-                failPending()
-                task?.cancel()
+                end()
                 null
             }
         }
 
+    /** Nothing is taken in any more, so that no call waits in vain. */
+    private fun end() {
+        commands.close()
+        takeCommands()
+        failPending()
+        task?.cancel()
+    }
+
     private fun received(message: Message) {
         when (message) {
             is ReplyMessage -> pending.remove(message.request)?.reply?.complete(message)
--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/PeerConnections.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/PeerConnections.kt
@@ -18,15 +18,11 @@
     private val selector: SelectorManager,
     private val timing: LinkTiming,
     private val scope: CoroutineScope,
-) {
+) : PeerCalls {
     private val connections = ConcurrentHashMap<ProcessId, PeerConnection>()
     private val requests = AtomicLong()
 
-    /**
-     * Sends a request to [member], again after each reconnection, and waits for its reply. Null if there is none within
-     * [timeoutMillis], or if the member stays unreachable.
-     */
-    suspend fun call(
+    override suspend fun call(
         member: EntryMember,
         timeoutMillis: Long,
         message: (Long) -> Message,
