--- a/egretlock-testing/src/test/kotlin/io/egretlock/testing/proof/FaultySystem.kt
+++ b/egretlock-testing/src/test/kotlin/io/egretlock/testing/proof/FaultySystem.kt
@@ -68,14 +68,7 @@
             Moment.STARTED -> submitAll(jobs = 4, tasks = 2, runMillis = 700)
             Moment.UNACKNOWLEDGED -> submitAll(jobs = 4, tasks = 2, runMillis = 300)
         }
-        if (moment !=
-            Moment.AT_REST
-        ) {
-            Await.until("all slots are taken", timeoutMillis = SERVE_MILLIS) {
-                startsOfSubmitted() >=
-                    2 * SLOTS
-            }
-        }
+        if (moment != Moment.AT_REST) awaitAllSlotsTaken()
         if (moment == Moment.UNACKNOWLEDGED) {
             system.entries.forEach { it.link?.silence() }
             Thread.sleep(FINISH_MILLIS)
@@ -148,6 +141,16 @@
             probes.map { it.join() }.all { it is JobReply.Complete }
         }
 
+    /** Names the replies that came instead, since a refused job starts nothing. */
+    private fun awaitAllSlotsTaken() {
+        try {
+            Await.until("all slots are taken", timeoutMillis = SERVE_MILLIS) { startsOfSubmitted() >= 2 * SLOTS }
+        } catch (timeout: IllegalStateException) {
+            val given = replies.filter { it.isDone }.map { it.join() }
+            throw AssertionError("${startsOfSubmitted()} starts; replies so far: $given", timeout)
+        }
+    }
+
     override fun close() = system.close()
 
     private fun startsOfSubmitted(): Int {
