Share one set-up among the process tests

When the start failed, the close added an error about an uninitialised property. Ruled out: a base class, since a class may then have only one shared fixture and its companion can't reach it. Change: SharedFixture, a JUnit extension that makes a value once for a class and closes it if it was made. No assertion and no test changed. Not run after the change: ProcessFaultTest and LinkFaultTest; they compile and take the extension the same way as StoreFaultTest. Conclusion: one set-up.

--- a/egretlock-testing/src/test/kotlin/io/egretlock/testing/proof/LinkFaultTest.kt
+++ b/egretlock-testing/src/test/kotlin/io/egretlock/testing/proof/LinkFaultTest.kt
@@ -3,10 +3,9 @@
 import io.egretlock.testing.link.LinkDirection
 import io.egretlock.testing.system.ProcessSignal
 import io.egretlock.testing.upstream.UpstreamMode
-import org.junit.jupiter.api.AfterAll
 import org.junit.jupiter.api.AfterEach
-import org.junit.jupiter.api.BeforeAll
 import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.extension.RegisterExtension
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.EnumSource
 
@@ -97,16 +96,11 @@
     }
 
     private companion object {
-        private lateinit var faulty: FaultySystem
+        @JvmField
+        @RegisterExtension
+        val shared = SharedFixture(::FaultySystem)
 
-        @JvmStatic
-        @BeforeAll
-        fun start() {
-            faulty = FaultySystem()
-        }
-
-        @JvmStatic
-        @AfterAll
-        fun stop() = faulty.close()
+        val faulty: FaultySystem
+            get() = shared.value
     }
 }
--- a/egretlock-testing/src/test/kotlin/io/egretlock/testing/proof/ProcessFaultTest.kt
+++ b/egretlock-testing/src/test/kotlin/io/egretlock/testing/proof/ProcessFaultTest.kt
@@ -1,8 +1,7 @@
 package io.egretlock.testing.proof
 
 import io.egretlock.testing.system.ProcessSignal
-import org.junit.jupiter.api.AfterAll
-import org.junit.jupiter.api.BeforeAll
+import org.junit.jupiter.api.extension.RegisterExtension
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.EnumSource
 
@@ -70,16 +69,12 @@
 
     private companion object {
         const val PAUSE_MILLIS = 1_800L
-        lateinit var faulty: FaultySystem
 
-        @JvmStatic
-        @BeforeAll
-        fun start() {
-            faulty = FaultySystem()
-        }
+        @JvmField
+        @RegisterExtension
+        val shared = SharedFixture(::FaultySystem)
 
-        @JvmStatic
-        @AfterAll
-        fun stop() = faulty.close()
+        val faulty: FaultySystem
+            get() = shared.value
     }
 }
--- a/egretlock-testing/src/test/kotlin/io/egretlock/testing/proof/StoreFaultTest.kt
+++ b/egretlock-testing/src/test/kotlin/io/egretlock/testing/proof/StoreFaultTest.kt
@@ -3,10 +3,9 @@
 import io.egretlock.testing.store.StoreAvailability
 import io.egretlock.testing.store.StoreFaults
 import io.egretlock.testing.system.ProcessSignal
-import org.junit.jupiter.api.AfterAll
 import org.junit.jupiter.api.AfterEach
-import org.junit.jupiter.api.BeforeAll
 import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.extension.RegisterExtension
 
 /** Jobs are served while the store is down or slow, also across a restart. */
 class StoreFaultTest {
@@ -53,16 +52,12 @@
     private companion object {
         const val OUTAGE_MILLIS = 4_000L
         const val SLOW_MILLIS = 400L
-        lateinit var faulty: FaultySystem
 
-        @JvmStatic
-        @BeforeAll
-        fun start() {
-            faulty = FaultySystem()
-        }
+        @JvmField
+        @RegisterExtension
+        val shared = SharedFixture(::FaultySystem)
 
-        @JvmStatic
-        @AfterAll
-        fun stop() = faulty.close()
+        val faulty: FaultySystem
+            get() = shared.value
     }
 }
--- a/egretlock-testing/src/test/kotlin/io/egretlock/testing/proof/WholePathTest.kt
+++ b/egretlock-testing/src/test/kotlin/io/egretlock/testing/proof/WholePathTest.kt
@@ -3,12 +3,10 @@
 import io.egretlock.testing.audit.Violation
 import io.egretlock.testing.client.JobReply
 import io.egretlock.testing.system.TestSystem
-import io.egretlock.testing.system.startSystem
-import org.junit.jupiter.api.AfterAll
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertInstanceOf
-import org.junit.jupiter.api.BeforeAll
 import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.extension.RegisterExtension
 
 class WholePathTest {
     @Test
@@ -43,16 +41,11 @@
     }
 
     private companion object {
-        lateinit var system: TestSystem
+        @JvmField
+        @RegisterExtension
+        val shared = sharedSmallSystem()
 
-        @JvmStatic
-        @BeforeAll
-        fun start() {
-            system = startSystem { smallSystem() }
-        }
-
-        @JvmStatic
-        @AfterAll
-        fun stop() = system.close()
+        val system: TestSystem
+            get() = shared.value
     }
 }
--- a/egretlock-testing/src/test/kotlin/io/egretlock/testing/settings/SettingsCommandTest.kt
+++ b/egretlock-testing/src/test/kotlin/io/egretlock/testing/settings/SettingsCommandTest.kt
@@ -1,17 +1,15 @@
 package io.egretlock.testing.settings
 
 import io.egretlock.testing.proof.TEAM
-import io.egretlock.testing.proof.smallSystem
+import io.egretlock.testing.proof.sharedSmallSystem
 import io.egretlock.testing.system.EntryNode
 import io.egretlock.testing.system.ProcessLauncher
 import io.egretlock.testing.system.TestSystem
-import io.egretlock.testing.system.startSystem
-import org.junit.jupiter.api.AfterAll
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertTrue
-import org.junit.jupiter.api.BeforeAll
 import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.extension.RegisterExtension
 import org.junit.jupiter.api.io.TempDir
 import java.nio.file.Path
 import kotlin.io.path.writeText
@@ -120,16 +118,11 @@
     )
 
     private companion object {
-        lateinit var system: TestSystem
+        @JvmField
+        @RegisterExtension
+        val shared = sharedSmallSystem()
 
-        @JvmStatic
-        @BeforeAll
-        fun start() {
-            system = startSystem { smallSystem() }
-        }
-
-        @JvmStatic
-        @AfterAll
-        fun stop() = system.close()
+        val system: TestSystem
+            get() = shared.value
     }
 }
--- a/egretlock-testing/src/test/kotlin/io/egretlock/testing/settings/SettingsOutageTest.kt
+++ b/egretlock-testing/src/test/kotlin/io/egretlock/testing/settings/SettingsOutageTest.kt
@@ -4,19 +4,17 @@
 import io.egretlock.testing.proof.Jobs
 import io.egretlock.testing.proof.SERVICE
 import io.egretlock.testing.proof.TEAM
-import io.egretlock.testing.proof.smallSystem
+import io.egretlock.testing.proof.sharedSmallSystem
 import io.egretlock.testing.store.StoreAvailability
 import io.egretlock.testing.store.StoreFaults
 import io.egretlock.testing.system.Await
 import io.egretlock.testing.system.ProcessSignal
 import io.egretlock.testing.system.TestSystem
-import io.egretlock.testing.system.startSystem
-import org.junit.jupiter.api.AfterAll
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertTrue
-import org.junit.jupiter.api.BeforeAll
 import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.extension.RegisterExtension
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.EnumSource
 
@@ -127,16 +125,12 @@
         const val PAUSE_MILLIS = 3_000L
         const val OUTAGE_MILLIS = 4_000L
         const val WINDOW_MILLIS = 10_000L
-        lateinit var system: TestSystem
 
-        @JvmStatic
-        @BeforeAll
-        fun start() {
-            system = startSystem { smallSystem() }
-        }
+        @JvmField
+        @RegisterExtension
+        val shared = sharedSmallSystem()
 
-        @JvmStatic
-        @AfterAll
-        fun stop() = system.close()
+        val system: TestSystem
+            get() = shared.value
     }
 }
--- a/egretlock-testing/src/test/kotlin/io/egretlock/testing/settings/SettingsRoutesTest.kt
+++ b/egretlock-testing/src/test/kotlin/io/egretlock/testing/settings/SettingsRoutesTest.kt
@@ -2,20 +2,18 @@
 
 import io.egretlock.testing.proof.SERVICE
 import io.egretlock.testing.proof.TEAM
-import io.egretlock.testing.proof.smallSystem
+import io.egretlock.testing.proof.sharedSmallSystem
 import io.egretlock.testing.system.Await
 import io.egretlock.testing.system.EntryNode
 import io.egretlock.testing.system.OperatorClient
 import io.egretlock.testing.system.TestSystem
-import io.egretlock.testing.system.startSystem
 import kotlinx.serialization.json.jsonArray
 import kotlinx.serialization.json.jsonObject
 import kotlinx.serialization.json.jsonPrimitive
-import org.junit.jupiter.api.AfterAll
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertFalse
-import org.junit.jupiter.api.BeforeAll
 import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.extension.RegisterExtension
 
 /** The operators' settings routes of real entries. */
 class SettingsRoutesTest {
@@ -113,16 +111,12 @@
 
     private companion object {
         const val IN_FORCE_MILLIS = 6_000L
-        lateinit var system: TestSystem
 
-        @JvmStatic
-        @BeforeAll
-        fun start() {
-            system = startSystem { smallSystem() }
-        }
+        @JvmField
+        @RegisterExtension
+        val shared = sharedSmallSystem()
 
-        @JvmStatic
-        @AfterAll
-        fun stop() = system.close()
+        val system: TestSystem
+            get() = shared.value
     }
 }
