Pause before dialling an entry again that ends each connection

Cause: a connection to another entry was dialled again at once whenever one ended, and any accepted connection counted as contact. Calls that waited for that entry never ended before their own deadline either, as each connection began the silence anew.

Change: only a welcome counts as contact. A connection that ended without one is followed by the usual pause of 100 ms, and calls end once there was no welcome for the silence.

Before: PeerConnectionTest's call had no end within 10 s (red). After: green, with at most 6 connections in 400 ms of silence.

--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/PeerConnection.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/PeerConnection.kt
@@ -39,6 +39,7 @@
     private val commands = Channel<Command>(Channel.UNLIMITED)
     private val pending = linkedMapOf<Long, Command.Call>()
     private var unreachableSinceNanos: Long? = null
+    private var isWelcome = false
     private var task: Job? = null
 
     /** Begins to dial. */
@@ -73,8 +74,9 @@
 
     private suspend fun run() {
         while (true) {
-            val link = dial()
-            if (link == null) unreachable() else serve(link)
+            isWelcome = false
+            dial()?.let { serve(it) }
+            if (!isWelcome) unreachable()
         }
     }
 
@@ -97,6 +99,7 @@
             null
         }
 
+    /** Something may accept connections in place of the other entry and end them at once, so that counts as no answer. */
     private suspend fun unreachable() {
         takeCommands()
         val since = unreachableSinceNanos ?: System.nanoTime().also { unreachableSinceNanos = it }
@@ -118,7 +121,6 @@
     }
 
     private suspend fun serve(link: Link) {
-        unreachableSinceNanos = null
         link.send(hello)
         listener.greetings().forEach { link.send(it) }
         pending.values.forEach { link.send(it.message) }
@@ -180,6 +182,8 @@
 
     /** Another incarnation at the member's address proves that the member has ended. */
     private fun welcomed(welcome: Welcome) {
+        isWelcome = true
+        unreachableSinceNanos = null
         if (welcome.entry == member.entry) {
             listener.reachable(member.entry)
         } else {
