Probe often enough that a lost home is not missed by chance

Until the roster without a killed entry is in force, half of the new jobs are refused, by design; 8 probes all belong to the living entry once in 256 rounds, and there are dozens of rounds in those seconds. The logs of the red run show it: the set-up went on at 05:26:57, the roster without the killed entry was in force from 05:26:58.7. The four jobs that followed were refused, so that eight starts never came.

Ruled out: credits (agents were connected and had announced), the gain rule and the horizon (both entries knew the roster 2 s before it was in force), admission.

Change: 32 probes of 1 ms; by chance they all miss once in 2^32.

--- a/egretlock-testing/src/test/kotlin/io/egretlock/testing/proof/FaultySystem.kt
+++ b/egretlock-testing/src/test/kotlin/io/egretlock/testing/proof/FaultySystem.kt
@@ -133,11 +133,14 @@
         }
     }
 
-    /** Waits until no new job is refused, as jobs of a lost entry are until its successor roster takes effect. */
+    /**
+     * Waits until no new job is refused, as half of them are while a lost entry is home to them. There are so many probes
+     * that they do not all miss the lost entry by chance.
+     */
     private fun awaitSettled() =
         Await.until("no new job is refused") {
-            val probes =
-                List(PROBES) { number -> system.submit(system.entries[number % 2], Jobs.id(), Jobs.job(tasks = 1)) }
+            val probe = Jobs.job(tasks = 1, runMillis = 1)
+            val probes = List(PROBES) { number -> system.submit(system.entries[number % 2], Jobs.id(), probe) }
             probes.map { it.join() }.all { it is JobReply.Complete }
         }
 
@@ -165,7 +168,7 @@
 
     private companion object {
         const val SLOTS = 4
-        const val PROBES = 8
+        const val PROBES = 32
         const val DEADLINE_MILLIS = 6_000L
         const val REPLY_MILLIS = 10_000L
         const val SERVE_MILLIS = 10_000L
