Bench fairness, black hole and stragglers in real processes

Change: bin/bench processes-fairness, processes-black-hole and processes-stragglers start three entries and eleven agents with the upstream stand-ins of `processes` (11 workers, 8 slots each). The open loop can do timed actions; a test system can give teams a quota.

--- a/egretlock-bench/src/main/kotlin/io/egretlock/bench/Main.kt
+++ b/egretlock-bench/src/main/kotlin/io/egretlock/bench/Main.kt
@@ -5,7 +5,10 @@
 import io.egretlock.bench.scenario.BlockingScenario
 import io.egretlock.bench.scenario.CrestScenario
 import io.egretlock.bench.scenario.FairnessScenario
+import io.egretlock.bench.scenario.ProcessBlackHoleScenario
+import io.egretlock.bench.scenario.ProcessFairnessScenario
 import io.egretlock.bench.scenario.ProcessScenario
+import io.egretlock.bench.scenario.ProcessStragglerScenario
 import io.egretlock.bench.scenario.Scenario
 import io.egretlock.bench.scenario.ScenarioOptions
 import io.egretlock.bench.scenario.SteadyScenario
@@ -32,12 +35,18 @@
         StragglerScenario(),
     )
 
-private val PROCESS_SCENARIO = ProcessScenario()
+private val PROCESS_SCENARIOS: List<Scenario> =
+    listOf(
+        ProcessScenario(),
+        ProcessFairnessScenario(),
+        ProcessBlackHoleScenario(),
+        ProcessStragglerScenario(),
+    )
 
 /** Runs one scenario, or all in virtual time, and with `--check` fails if a target is missed. */
 fun main(arguments: Array<String>) {
     val parser = ArgParser("bench")
-    val names = SCENARIOS.map { it.name } + PROCESS_SCENARIO.name + ALL
+    val names = (SCENARIOS + PROCESS_SCENARIOS).map { it.name } + ALL
     val name by parser.argument(ArgType.Choice(names, { it }), fullName = "name", description = "Scenario to run")
     val seed by parser.option(ArgType.Int, description = "First seed").default(1)
     val repeats by parser.option(ArgType.Int, description = "Runs with successive seeds").default(DEFAULT_REPEATS)
@@ -50,7 +59,7 @@
     val chosen =
         when (name) {
             ALL -> SCENARIOS
-            else -> (SCENARIOS + PROCESS_SCENARIO).filter { it.name == name }
+            else -> (SCENARIOS + PROCESS_SCENARIOS).filter { it.name == name }
         }
     val results = chosen.map { it.run(options).also(writer::write) }
     if (check && results.any { result -> result.bounds.any { !it.met } }) exitProcess(EXIT_MISSED)
--- a/egretlock-bench/src/main/kotlin/io/egretlock/bench/process/OpenLoop.kt
+++ b/egretlock-bench/src/main/kotlin/io/egretlock/bench/process/OpenLoop.kt
@@ -5,10 +5,12 @@
 import io.egretlock.testing.client.JobReply
 import io.egretlock.testing.client.JobRequest
 import io.egretlock.testing.client.JobTask
+import io.egretlock.testing.client.ProblemVerdict
 import io.egretlock.testing.system.TestSystem
 import kotlinx.serialization.json.JsonObject
 import kotlinx.serialization.json.JsonPrimitive
 import java.util.concurrent.CompletableFuture
+import java.util.concurrent.Executors
 import java.util.concurrent.TimeUnit
 import kotlin.random.Random
 
@@ -23,6 +25,24 @@
     val reply: JobReply,
     val responseMillis: Double,
     val endedAtMillis: Double,
+) {
+    /** Whether it was answered whole. */
+    val isComplete: Boolean
+        get() = reply is JobReply.Complete
+
+    /** Whether it was refused and nothing of it has run. */
+    val isRefused: Boolean
+        get() = (reply as? JobReply.Refused)?.problem?.verdict == ProblemVerdict.NOT_RUN
+
+    /** Whether it failed or may have run. */
+    val isLost: Boolean
+        get() = !isComplete && !isRefused
+}
+
+/** Something that happens [atMillis] after the first intended send time of a run. */
+data class TimedAction(
+    val atMillis: Double,
+    val action: () -> Unit,
 )
 
 /** Submits jobs at their intended times, whether or not earlier ones have been answered. */
@@ -33,11 +53,18 @@
 ) {
     private val ids = JobIds(Random(seed))
 
-    /** Submits [arrivals], to the entries in turn, and waits for all replies. */
-    fun run(arrivals: List<WorkloadJob>): List<SentJob> {
+    /** Submits [arrivals], to the entries in turn, does [actions] meanwhile, and waits for all replies. */
+    fun run(
+        arrivals: List<WorkloadJob>,
+        actions: List<TimedAction> = emptyList(),
+    ): List<SentJob> {
+        val timer = Executors.newSingleThreadScheduledExecutor { Thread(it).apply { isDaemon = true } }
         val startNanos = System.nanoTime()
+        actions.forEach { timer.schedule(it.action, it.atMillis.toLong(), TimeUnit.MILLISECONDS) }
         val sent = arrivals.mapIndexed { index, work -> submitAt(startNanos, work, index) }
-        return sent.map { it.get(REPLY_TIMEOUT_SECONDS, TimeUnit.SECONDS) }
+        val replies = sent.map { it.get(REPLY_TIMEOUT_SECONDS, TimeUnit.SECONDS) }
+        timer.shutdown()
+        return replies
     }
 
     private fun submitAt(
--- a/egretlock-bench/src/main/kotlin/io/egretlock/bench/process/ProcessRun.kt
+++ b/egretlock-bench/src/main/kotlin/io/egretlock/bench/process/ProcessRun.kt
@@ -5,7 +5,6 @@
 import io.egretlock.bench.report.Figure
 import io.egretlock.bench.scenario.Fleet
 import io.egretlock.testing.client.JobReply
-import io.egretlock.testing.client.ProblemVerdict
 import io.egretlock.testing.system.ManagedProcess
 import io.egretlock.testing.system.TestSystem
 
@@ -28,7 +27,7 @@
 
     /** Share of the jobs that were answered whole. */
     val answered: Double
-        get() = sent.count { it.reply is JobReply.Complete }.toDouble() / sent.size
+        get() = sent.count { it.isComplete }.toDouble() / sent.size
 
     /** Median of the time from the intended send time to the reply, relative to the longest run of the job. */
     val medianStretch: Double
@@ -40,7 +39,7 @@
         toMillis: Double,
     ): Double =
         sent
-            .filter { it.reply is JobReply.Complete && it.endedAtMillis in fromMillis..toMillis }
+            .filter { it.isComplete && it.endedAtMillis in fromMillis..toMillis }
             .sumOf { it.work.workMillis }
 
     /** Submits [arrivals] and measures until the last reply. */
@@ -87,12 +86,11 @@
         value: Double,
     ) = Figure(load, "processes", measure, value)
 
-    private fun refused(): List<SentJob> =
-        sent.filter { (it.reply as? JobReply.Refused)?.problem?.verdict == ProblemVerdict.NOT_RUN }
+    private fun refused(): List<SentJob> = sent.filter { it.isRefused }
 
     private fun refusalMillis() = Distribution().apply { refused().forEach { add(it.responseMillis) } }
 
-    private fun lost(): Int = sent.size - refused().size - sent.count { it.reply is JobReply.Complete }
+    private fun lost(): Int = sent.count { it.isLost }
 
     private fun measureStretch() {
         val speeds = Fleet.WORKERS.associate { it.name to it.speed }
@@ -100,7 +98,7 @@
         for (agent in system.agents) {
             agent.upstream.starts.forEach { start -> speedByTask[start.task] = speeds.getValue(agent.name) }
         }
-        for (job in sent.filter { it.reply is JobReply.Complete }) {
+        for (job in sent.filter { it.isComplete }) {
             val runs =
                 job.work.tasks.mapIndexed { index, task ->
                     task.runMillis /
--- /dev/null
+++ b/egretlock-bench/src/main/kotlin/io/egretlock/bench/scenario/ProcessBlackHoleScenario.kt
@@ -0,0 +1,97 @@
+package io.egretlock.bench.scenario
+
+import io.egretlock.bench.load.Arrivals
+import io.egretlock.bench.load.JobMix
+import io.egretlock.bench.process.OpenLoop
+import io.egretlock.bench.process.SentJob
+import io.egretlock.bench.process.TimedAction
+import io.egretlock.bench.report.Bound
+import io.egretlock.bench.report.Figure
+import io.egretlock.bench.report.ScenarioResult
+import io.egretlock.testing.system.AgentNode
+import io.egretlock.testing.system.TestSystem
+import io.egretlock.testing.upstream.UpstreamMode
+
+/** One of eleven upstreams beside real agents fails everything at once, and is repaired in the middle of the run. */
+internal class ProcessBlackHoleScenario : Scenario {
+    override val name = "processes-black-hole"
+
+    override fun run(options: ScenarioOptions): ScenarioResult {
+        val duration = ProcessFleet.durationMillis(options)
+        val scale = ProcessFleet.scaleFigures()
+        return ProcessFleet.start().use { system ->
+            ProcessFleet.warmUp(system, options.seed)
+            val sample = measure(system, options.seed, duration)
+            val figures = scale + sample.figures()
+            ScenarioResult(name, options.seed, 1, duration, figures, sample.bounds())
+        }
+    }
+
+    private fun measure(
+        system: TestSystem,
+        seed: Long,
+        duration: Double,
+    ): Sample {
+        val agent = ProcessFleet.agent(system, WORKER)
+        val begins = duration / PARTS
+        val ends = duration / 2
+        val actions =
+            listOf(
+                TimedAction(begins) { agent.upstream.changeMode(UpstreamMode.FAIL) },
+                TimedAction(ends) { agent.upstream.changeMode(UpstreamMode.NORMAL) },
+            )
+        val arrivals = Arrivals(seed).steady(JobMix.BOOKING, Fleet.TEAM, Fleet.CAPACITY, duration, LOAD)
+        val startedAt = System.currentTimeMillis()
+        val sent = OpenLoop(system, ProcessFleet.SERVICE, seed + 1).run(arrivals, actions)
+        val startsBefore = startsWithin(agent, startedAt, 0.0, begins)
+        val startsAfter = startsWithin(agent, startedAt, duration - begins, duration)
+        return Sample(sent, begins, ends, startsAfter.toDouble() / startsBefore)
+    }
+
+    private fun startsWithin(
+        agent: AgentNode,
+        startedAt: Long,
+        fromMillis: Double,
+        toMillis: Double,
+    ): Int = agent.upstream.starts.count { (it.startedAtMillis - startedAt).toDouble() in fromMillis..toMillis }
+
+    private class Sample(
+        sent: List<SentJob>,
+        begins: Double,
+        ends: Double,
+        private val useAgain: Double,
+    ) {
+        private val atOnce = sent.filter { it.work.arrivalMillis in begins..begins + REACTION_MILLIS }
+        private val later = sent.filter { it.work.arrivalMillis in begins + REACTION_MILLIS..ends }
+        private val lostShare = later.count { it.isLost }.toDouble() / later.size
+
+        fun bounds(): List<Bound> =
+            listOf(
+                Bound.atMost(LOAD_NAME, "jobs lost after 2 s", lostShare, limit = 0.01),
+                Bound.atLeast(LOAD_NAME, USE_AGAIN, useAgain, limit = 0.5),
+            )
+
+        fun figures(): List<Figure> =
+            listOf(
+                figure("jobs lost in the first 2 s", atOnce.count { it.isLost }.toDouble()),
+                figure("jobs after 2 s", later.size.toDouble()),
+                figure("jobs refused after 2 s", later.count { it.isRefused }.toDouble()),
+                figure("jobs lost after 2 s", lostShare),
+                figure(USE_AGAIN, useAgain),
+            )
+
+        private fun figure(
+            measure: String,
+            value: Double,
+        ) = Figure(LOAD_NAME, "processes", measure, value)
+    }
+
+    private companion object {
+        const val WORKER = "worker-3"
+        const val LOAD = 0.7
+        const val LOAD_NAME = "load 0.7"
+        const val USE_AGAIN = "use at the end, of use before the fault"
+        const val PARTS = 7
+        const val REACTION_MILLIS = 2_000.0
+    }
+}
--- a/egretlock-bench/src/main/kotlin/io/egretlock/bench/scenario/ProcessScenario.kt
+++ b/egretlock-bench/src/main/kotlin/io/egretlock/bench/scenario/ProcessScenario.kt
@@ -8,15 +8,13 @@
 import io.egretlock.bench.report.Figure
 import io.egretlock.bench.report.ScenarioResult
 import io.egretlock.testing.system.TestSystem
-import io.egretlock.testing.system.startSystem
-import io.egretlock.testing.upstream.UpstreamTraits
 
 /** The same workers and loads against the two binaries: three entries, eleven agents, upstreams in the bench. */
 internal class ProcessScenario : Scenario {
     override val name = "processes"
 
     override fun run(options: ScenarioOptions): ScenarioResult =
-        system().use { system ->
+        ProcessFleet.start().use { system ->
             val idle = idleFigures(system, "idle after the start")
             run(system, "warm-up", options, JobMix.BOOKING, WARM_UP_LOAD)
             val light = run(system, "haddad at 0.2", options, JobMix.BOOKING, LIGHT_LOAD)
@@ -53,7 +51,7 @@
     ): ProcessRun {
         val arrivals =
             Arrivals(options.seed).steady(mix, Fleet.TEAM, Fleet.CAPACITY, options.durationMillis, level)
-        return ProcessRun(load, system, SERVICE, options.seed + load.hashCode()).run(arrivals)
+        return ProcessRun(load, system, ProcessFleet.SERVICE, options.seed + load.hashCode()).run(arrivals)
     }
 
     private fun crest(
@@ -66,7 +64,7 @@
             ).draw(JobMix.BOOKING, Fleet.TEAM, Fleet.CAPACITY, options.durationMillis, CREST_LOAD) {
                 (LOAD + (CREST_LOAD - LOAD) * it / CREST_RISE_MILLIS).coerceAtMost(CREST_LOAD)
             }
-        return ProcessRun("crest", system, SERVICE, options.seed - 1).run(arrivals)
+        return ProcessRun("crest", system, ProcessFleet.SERVICE, options.seed - 1).run(arrivals)
     }
 
     private fun idleFigures(
@@ -91,20 +89,7 @@
         }
     }
 
-    private fun system(): TestSystem =
-        startSystem {
-            Fleet.WORKERS.groupBy { it.failureDomain }.forEach { (domain, workers) ->
-                failureDomain(domain.value) {
-                    entry("entry-${domain.value}")
-                    workers.forEach { agent(it.name, UpstreamTraits(SERVICE, it.slots, CONNECTIONS, it.speed)) }
-                }
-            }
-            team(Fleet.TEAM.value, SERVICE)
-        }
-
     private companion object {
-        const val SERVICE = "bench"
-        const val CONNECTIONS = 64
         const val WARM_UP_LOAD = 0.4
         const val LIGHT_LOAD = 0.2
         const val LOAD = 0.8
--- a/egretlock-testing/src/main/kotlin/io/egretlock/testing/system/SystemBuilder.kt
+++ b/egretlock-testing/src/main/kotlin/io/egretlock/testing/system/SystemBuilder.kt
@@ -1,6 +1,8 @@
 package io.egretlock.testing.system
 
+import io.egretlock.core.job.ServiceName
 import io.egretlock.core.roster.NodeAddress
+import io.egretlock.core.settings.ServiceSettings
 import io.egretlock.testing.store.StoreStandIn
 import io.egretlock.testing.upstream.UpstreamTraits
 
@@ -27,12 +29,13 @@
         describe: FailureDomainBuilder.() -> Unit,
     ) = FailureDomainBuilder(name).describe()
 
-    /** Lets [team] submit to [service]. */
+    /** Lets [team] submit to [service], where up to [concurrency] of its tasks run at once. */
     fun team(
         team: String,
         service: String,
+        concurrency: Int = ServiceSettings(ServiceName(service)).concurrency,
     ) {
-        teams += TeamPermission(team, service)
+        teams += TeamPermission(team, service, concurrency)
     }
 
     internal fun start(): TestSystem {
@@ -76,8 +79,13 @@
     }
 }
 
-/** A team and a service that it may submit to. */
+/**
+ * A team and a service that it may submit to.
+ *
+ * @property concurrency tasks of the team that may run there at once.
+ */
 data class TeamPermission(
     val team: String,
     val service: String,
+    val concurrency: Int,
 )
--- a/egretlock-testing/src/main/kotlin/io/egretlock/testing/system/TestSystem.kt
+++ b/egretlock-testing/src/main/kotlin/io/egretlock/testing/system/TestSystem.kt
@@ -115,8 +115,8 @@
         agents.forEach { it.start() }
         agents.forEach { it.upstream.start() }
         entries.forEach { awaitReady(it) }
-        teams.groupBy({ it.team }, { it.service }).forEach { (team, services) ->
-            store.history.put("/egretlock/settings/$team", settingsText(team, services))
+        teams.groupBy { it.team }.forEach { (team, permissions) ->
+            store.history.put("/egretlock/settings/$team", settingsText(team, permissions))
         }
         awaitConnected()
         entries.forEach { awaitSettings(it) }
@@ -124,10 +124,10 @@
 
     private fun settingsText(
         team: String,
-        services: List<String>,
+        permissions: List<TeamPermission>,
     ): String {
-        val settings = TeamSettings(TeamName(team), services = services.map { ServiceSettings(ServiceName(it)) })
-        return Json.encodeToString(settings)
+        val services = permissions.map { ServiceSettings(ServiceName(it.service), it.concurrency) }
+        return Json.encodeToString(TeamSettings(TeamName(team), services = services))
     }
 
     private fun awaitSettings(entry: EntryNode) =
