Bench clients that return or resubmit in real processes

Change: bin/bench processes-returns (clients come back once, when Retry-After says and within the run) and processes-resubmits (clients submit the same id at another entry after 1 s without an answer). Stretch is computed in one place.

--- a/egretlock-bench/src/main/kotlin/io/egretlock/bench/Main.kt
+++ b/egretlock-bench/src/main/kotlin/io/egretlock/bench/Main.kt
@@ -6,6 +6,7 @@
 import io.egretlock.bench.scenario.CrestScenario
 import io.egretlock.bench.scenario.FairnessScenario
 import io.egretlock.bench.scenario.ProcessBlackHoleScenario
+import io.egretlock.bench.scenario.ProcessCrestScenario
 import io.egretlock.bench.scenario.ProcessFairnessScenario
 import io.egretlock.bench.scenario.ProcessScenario
 import io.egretlock.bench.scenario.ProcessStragglerScenario
@@ -41,6 +42,8 @@
         ProcessFairnessScenario(),
         ProcessBlackHoleScenario(),
         ProcessStragglerScenario(),
+        ProcessCrestScenario.RETURNS,
+        ProcessCrestScenario.RESUBMITS,
     )
 
 /** Runs one scenario, or all in virtual time, and with `--check` fails if a target is missed. */
--- a/egretlock-bench/src/main/kotlin/io/egretlock/bench/process/ProcessRun.kt
+++ b/egretlock-bench/src/main/kotlin/io/egretlock/bench/process/ProcessRun.kt
@@ -3,7 +3,6 @@
 import io.egretlock.bench.load.WorkloadJob
 import io.egretlock.bench.report.Distribution
 import io.egretlock.bench.report.Figure
-import io.egretlock.bench.scenario.Fleet
 import io.egretlock.testing.client.JobReply
 import io.egretlock.testing.system.ManagedProcess
 import io.egretlock.testing.system.TestSystem
@@ -93,19 +92,8 @@
     private fun lost(): Int = sent.count { it.isLost }
 
     private fun measureStretch() {
-        val speeds = Fleet.WORKERS.associate { it.name to it.speed }
-        val speedByTask = HashMap<String, Double>()
-        for (agent in system.agents) {
-            agent.upstream.starts.forEach { start -> speedByTask[start.task] = speeds.getValue(agent.name) }
-        }
-        for (job in sent.filter { it.isComplete }) {
-            val runs =
-                job.work.tasks.mapIndexed { index, task ->
-                    task.runMillis /
-                        speedByTask.getValue("${job.id}:$index")
-                }
-            stretch.add(job.responseMillis / runs.max())
-        }
+        val meter = StretchMeter(system)
+        sent.filter { it.isComplete }.forEach { stretch.add(meter.stretch(it)) }
     }
 
     private fun useSince(
--- a/egretlock-bench/src/main/kotlin/io/egretlock/bench/scenario/ProcessBlackHoleScenario.kt
+++ b/egretlock-bench/src/main/kotlin/io/egretlock/bench/scenario/ProcessBlackHoleScenario.kt
@@ -78,7 +78,12 @@
                 figure("jobs refused after 2 s", later.count { it.isRefused }.toDouble()),
                 figure("jobs lost after 2 s", lostShare),
                 figure(USE_AGAIN, useAgain),
-            )
+            ) + lostByReason()
+
+        private fun lostByReason(): List<Figure> {
+            val reasons = later.filter { it.isLost }.groupingBy { it.reason }.eachCount()
+            return reasons.map { (reason, count) -> figure("jobs lost after 2 s for $reason", count.toDouble()) }
+        }
 
         private fun figure(
             measure: String,
--- a/egretlock-bench/src/main/kotlin/io/egretlock/bench/scenario/ProcessFairnessScenario.kt
+++ b/egretlock-bench/src/main/kotlin/io/egretlock/bench/scenario/ProcessFairnessScenario.kt
@@ -23,7 +23,11 @@
             val calm = Sample("all within quota", phase(system, options.seed, phaseMillis, greedyFactor = 1.0))
             val greedy = Sample("one at ten times its quota", phase(system, options.seed, phaseMillis, GREEDY_FACTOR))
             val loss = 1 - greedy.othersWork / calm.othersWork
-            val bounds = listOf(Bound.atMost("four teams", "work that the others lose", loss, limit = 0.05))
+            val bounds =
+                listOf(
+                    Bound.atMost("four teams", "work that the others lose", loss, limit = 0.05),
+                    Bound.atMost("four teams", "work that the others ask for in vain", greedy.inVain, limit = 0.05),
+                )
             val figures = scale + calm.figures() + greedy.figures()
             ScenarioResult(name, options.seed, 1, phaseMillis, figures, bounds)
         }
@@ -62,6 +66,10 @@
         val othersWork: Double
             get() = answeredWork(others)
 
+        /** Share of the others' work that is not answered; it doesn't depend on how well another run went. */
+        val inVain: Double
+            get() = 1 - othersWork / others.sumOf { it.work.workMillis }
+
         fun figures(): List<Figure> =
             listOf(
                 figure("jobs of the others", others.size.toDouble()),
