Tick a home without live jobs four times a second

Cause: an entry sent its home a tick every 20 ms, whether or not a job waited. Each wakes the timer's thread, a coroutine thread for the sender and one for the home, and runs a placement pass. In an idle entry with one agent the coroutine and timer threads were most of the cost (21.1 and 5.8 of 34.4 ms/s).

Ruled out: the store's client (2.2 ms/s for its calls), Jetty's scheduler (0.4), metrics (0.4); the compiler is 3 to 6 ms/s a minute after the start, and up to 18 in the first half minute, whichever version runs.

Change: HomeTicker ticks every 20 ms while the home has live jobs, and pauses for 250 ms more otherwise. The first live job ends the pause, and one tick follows the end of the last job, so that its credit requests are withdrawn as before. With no live jobs a tick only gives up absent agents, forgets old outcomes and lets learned rates decay.

Tests: HomeTickerTest, JobRouterTest, EntryProcessTest pass.

--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/EntryProcess.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/EntryProcess.kt
@@ -38,7 +38,6 @@
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.delay
-import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.serialization.encodeToString
 import kotlinx.serialization.json.Json
@@ -87,7 +86,6 @@
         scope.launchEssential(logger, EntryEvent.TASK_FAILED) { home.run() }
         scope.launchEssential(logger, EntryEvent.TASK_FAILED) { joinOnceInformed() }
         scope.launchEssential(logger, EntryEvent.TASK_FAILED) { settingsKeeper.run(settingsWatcher.updates()) }
-        scope.launch { tick() }
         listener = LinkListener.bind(settings.linkAddress, selector, scope, settings.timing, linkServer::serve)
         callers.start(settings.callersAddress.host, settings.callersAddress.port)
         operators.start(settings.operatorsAddress.host, settings.operatorsAddress.port)
@@ -165,13 +163,6 @@
         roster.otherMembers.forEach { peers.tell(it, SettingsUpdate(applied)) }
     }
 
-    private suspend fun tick() {
-        while (true) {
-            home.send(HomeInput.Tick)
-            delay(TICK_MILLIS)
-        }
-    }
-
     private fun knowledge() =
         object : SharedKnowledge {
             override fun rosters(): List<Roster> = roster.newestRosters
@@ -188,7 +179,6 @@
         }
 
     private companion object {
-        const val TICK_MILLIS = 20L
         const val DRAIN_CHECK_MILLIS = 20L
         const val MOST_SERVER_THREADS = 16
         const val FEWEST_SERVER_THREADS = 4
--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/HomeTask.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/HomeTask.kt
@@ -32,6 +32,8 @@
 import io.github.oshai.kotlinlogging.KotlinLogging
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.launch
 
 private val logger = KotlinLogging.logger {}
 
@@ -53,6 +55,7 @@
     private val settings = linkedMapOf<TeamName, StoredTeamSettings>()
     private val counts = OutcomeCounts()
     private val custody = ClaimCustody(self)
+    private val ticker = HomeTicker(::send)
 
     /** Queues an input. */
     fun send(input: HomeInput) {
@@ -60,10 +63,17 @@
     }
 
     /** Handles inputs until cancelled. */
-    suspend fun run() {
+    suspend fun run() =
+        coroutineScope {
+            launch { ticker.run() }
+            handleInputs()
+        }
+
+    private suspend fun handleInputs() {
         for (input in inputs) {
             handle(input)
             handleWaiting()
+            ticker.observe(home.liveJobs)
             carryOut(home.drain(nowMillis()))
         }
     }
