Refuse quoted numbers and truths in settings

Cause: the parsed tree does not tell whether a scalar was quoted, so "5" was read as 5. The parser's nodes were ruled out as a source, as they carry no style; the text at the node's place tells. Change: numbers and truths must stand plain in the text; the fault shows the value in quotes. Unknown keys in nested objects were refused already; a test now says so. Not run since: tests of processes.

--- a/egretlock-core/src/main/kotlin/io/egretlock/core/settings/SettingsText.kt
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/settings/SettingsText.kt
@@ -33,7 +33,8 @@
         val malformed = if (format == SettingsFormat.JSON) jsonFault(text) else null
         if (malformed != null) return Err(listOf(malformed))
         return try {
-            check(Yaml.default.parseToYamlNode(withoutTabs(text, format)), team)
+            val readable = withoutTabs(text, format)
+            check(Yaml.default.parseToYamlNode(readable), SettingsSource(readable), team)
         } catch (failure: YamlException) {
             Err(listOf(yamlFault(failure)))
         }
@@ -47,9 +48,10 @@
 
     private fun check(
         root: YamlNode,
+        source: SettingsSource,
         team: TeamName,
     ): Result<TeamSettings, List<SettingsFault>> {
-        val reader = SettingsTreeReader()
+        val reader = SettingsTreeReader(source)
         val settings = reader.read(root)
         val unreadable = reader.faults.map { it.path }.toSet()
         val outOfRange =
--- a/egretlock-core/src/main/kotlin/io/egretlock/core/settings/SettingsTreeReader.kt
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/settings/SettingsTreeReader.kt
@@ -10,7 +10,9 @@
 import io.egretlock.core.job.TeamName
 
 /** Reads settings from a parsed tree and collects values of another type, missing values and unknown keys. */
-internal class SettingsTreeReader {
+internal class SettingsTreeReader(
+    private val source: SettingsSource,
+) {
     private val collected = mutableListOf<SettingsFault>()
     private val locations = mutableMapOf<String, TextLocation>()
 
@@ -83,12 +85,14 @@
 
     private fun excerpt(node: YamlNode): String =
         when (node) {
-            is YamlScalar -> node.content
+            is YamlScalar -> if (isPlain(node)) node.content else "\"${node.content}\""
             is YamlNull -> "null"
             is YamlList -> "a list"
             else -> "a mapping"
         }.take(LONGEST_EXCERPT)
 
+    private fun isPlain(scalar: YamlScalar): Boolean = source.isPlain(scalar.content, locationOf(scalar))
+
     private fun locationOf(node: YamlNode): TextLocation = TextLocation(node.location.line, node.location.column)
 
     /** Reads the values of one mapping; remembers which keys were asked for. */
@@ -106,28 +110,28 @@
             allowed: String,
         ): String {
             if (valueOf(key) == null) collected += SettingsFault(pathOf(key), value = null, allowed, location)
-            return scalar(key, "", allowed) { it }
+            return value(key, "", allowed) { it.content }
         }
 
         fun whole(
             key: String,
             default: Int,
-        ): Int = scalar(key, default, "a whole number") { it.toIntOrNull() }
+        ): Int = plain(key, default, "a whole number") { it.toIntOrNull() }
 
         fun millis(
             key: String,
             default: Long,
-        ): Long = scalar(key, default, "a whole number of milliseconds, without a unit") { it.toLongOrNull() }
+        ): Long = plain(key, default, "a whole number of milliseconds, without a unit") { it.toLongOrNull() }
 
         fun decimal(
             key: String,
             default: Double,
-        ): Double = scalar(key, default, "a number") { text -> text.takeIf(DECIMAL::matches)?.toDouble() }
+        ): Double = plain(key, default, "a number") { text -> text.takeIf(DECIMAL::matches)?.toDouble() }
 
         fun truth(
             key: String,
             default: Boolean,
-        ): Boolean = scalar(key, default, "true or false") { it.toBooleanStrictOrNull() }
+        ): Boolean = plain(key, default, "true or false") { it.toBooleanStrictOrNull() }
 
         fun <T> list(
             key: String,
@@ -149,14 +153,22 @@
             }
         }
 
-        private fun <T : Any> scalar(
+        /** A value that is not a text; in quotes it would be one. */
+        private fun <T : Any> plain(
             key: String,
             default: T,
             allowed: String,
             parse: (String) -> T?,
+        ): T = value(key, default, allowed) { scalar -> scalar.takeIf(::isPlain)?.content?.let(parse) }
+
+        private fun <T : Any> value(
+            key: String,
+            default: T,
+            allowed: String,
+            parse: (YamlScalar) -> T?,
         ): T {
             val node = valueOf(key) ?: return default
-            val value = (node as? YamlScalar)?.content?.let(parse)
+            val value = (node as? YamlScalar)?.let(parse)
             if (value == null) add(pathOf(key), node, allowed)
             return value ?: default
         }
--- a/egretlock-core/src/test/kotlin/io/egretlock/core/settings/SettingsTextTest.kt
+++ b/egretlock-core/src/test/kotlin/io/egretlock/core/settings/SettingsTextTest.kt
@@ -99,6 +99,34 @@
         )
     }
 
+    @Test
+    fun `given numbers and truths in quotes, when read, then each is refused with its path`() {
+        val json = """{"team":"haddad","weight":"2","services":[{"name":"s","concurrency":"5","guards":"true"}]}"""
+        val expected =
+            listOf(
+                "weight: '\"2\"' is not allowed; allowed: a number (line 1, column 27).",
+                "services[0].concurrency: '\"5\"' is not allowed; allowed: a whole number (line 1, column 69).",
+                "services[0].guards: '\"true\"' is not allowed; allowed: true or false (line 1, column 82).",
+            )
+        assertEquals(expected, faultsOf(json, SettingsFormat.JSON))
+        assertEquals(listOf("weight"), pathsOf("team: haddad\nweight: '2'"))
+        assertEquals(listOf("weight"), pathsOf("team: haddad\nweight: |-\n  2"))
+    }
+
+    @Test
+    fun `given unknown keys inside nested objects, when read, then each is refused with its path`() {
+        val yaml =
+            """
+            team: haddad
+            services:
+              - name: s
+                retry: {times: 2}
+            closedOperations:
+              - {service: s, operation: reserve, until: 5}
+            """.trimIndent()
+        assertEquals(listOf("services[0].retry", "closedOperations[0].until"), pathsOf(yaml))
+    }
+
     @Test
     fun `given a repeated key, when read, then it is refused`() {
         val faults = SettingsText.read("team: haddad\nteam: haddad", SettingsFormat.YAML, team).getError().orEmpty()
@@ -117,6 +145,13 @@
         )
     }
 
+    private fun pathsOf(yaml: String): List<String> =
+        SettingsText
+            .read(yaml, SettingsFormat.YAML, team)
+            .getError()
+            .orEmpty()
+            .map { it.path }
+
     private fun faultsOf(
         text: String,
         format: SettingsFormat,
