Let a leaver claim on when its heir refuses the handover

Cause: two entries that are told to stop at once name each other as heirs. Each names its heir in its home before it asks, each refuses the other's first part because it is leaving itself, and neither ever claims again: a new job is moved from one to the other, and a request that is passed on is passed back.

Ruled out: naming the heir only after it answered (claims made between export and answer would not be handed over); a random choice of who goes first (it can refuse for ever). A refusal that is not final is unsafe: requests are repeated after a reconnection, so that a repetition could be taken after the leaver claims again. TLC finds the trace (Refusal.cfg, FinalRefusal = FALSE: leave, refuse, resume, the refused part is taken, both settle).

Change: an heir takes over with the last part only, and its answers are final: a part not newer than a refused one is refused, a last part that was taken is never refused. A refused leaver claims again and asks on; of two leavers only the greater asks the other again. An heir that does not answer to an earlier part has not taken over, and another is asked; an empty part comes first. An heir that does not answer to the last part is asked again, and no other. The owners are handed over by the home that has the claims, no longer by the roster, which may lag behind it. Requests that wait for an offer ask the home again.

--- a/egretlock-core/src/test/kotlin/io/egretlock/core/model/ModelChecker.kt
+++ b/egretlock-core/src/test/kotlin/io/egretlock/core/model/ModelChecker.kt
@@ -84,5 +84,6 @@
     PROMISE("Claim", "Promise"),
     BOOTSTRAP("Claim", "Bootstrap"),
     HANDOVER("Claim", "Handover"),
+    REFUSAL("Claim", "Refusal"),
     TASK_GATE("TaskGate", "TaskGate"),
 }
--- a/egretlock-core/src/test/kotlin/io/egretlock/core/model/ModelTest.kt
+++ b/egretlock-core/src/test/kotlin/io/egretlock/core/model/ModelTest.kt
@@ -24,6 +24,8 @@
         "BOOTSTRAP, DistrustReadBack, FALSE, SettledOnce",
         "BOOTSTRAP, HoldBootstrap, FALSE, SettledOnce",
         "HANDOVER, OneHeir, FALSE, SettledOnce",
+        "REFUSAL, OneHeir, FALSE, SettledOnce",
+        "REFUSAL, FinalRefusal, FALSE, SettledOnce",
         "TASK_GATE, TombstoneOnRevoke, FALSE, StartedOnce",
         "TASK_GATE, TombstoneOnRevoke, FALSE, NotRunIsTrue",
         "TASK_GATE, RecordBeforeCall, FALSE, StartedOnce",
--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/Departure.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/Departure.kt
@@ -19,36 +19,29 @@
 /**
  * A planned stop: one heir takes all claims over and claims new jobs at once, while running jobs end here. The heir sends
  * those who resubmit a running job to this entry until it has ended.
+ *
+ * An heir takes over with the last part of a handover only; an empty part comes first, so that an heir that does not answer
+ * is not asked to take over. Until then, or when it refuses because it is leaving too, this
+ * entry claims on and may ask another. Of two that leave, only the greater asks the other again, so that they do not
+ * refuse each other for ever.
  */
 internal class Departure(
     private val self: EntryMember,
     private val roster: RosterTask,
     private val home: HomeTask,
-    private val peers: PeerConnections,
+    private val peers: PeerCalls,
     private val signal: HandoverSignal,
 ) {
     private var heir: EntryMember? = null
+    private val excluded = mutableSetOf<ProcessId>()
 
     /**
      * Hands over to an heir. Another entry that has just started may need a moment to become a member; until then this
      * one goes on claiming. Where no heir appears, new jobs are refused from now on.
      */
     suspend fun begin() {
-        val chosen = withTimeoutOrNull(HEIR_MILLIS) { awaitReachableMember() }
-        heir = chosen
-        if (chosen == null) {
-            home.send(HomeInput.StopClaiming)
-            return
-        }
-        signal.begin()
-        val claims = claims(chosen)
-        val owners = roster.view.inherited + self.entry
-        val parts = claims.running.chunked(CLAIMS_PER_MESSAGE).map { handover(emptyList(), it) } + parts(claims.ended)
-        val accepted = sendAll(chosen, parts + handover(emptyList(), emptyList(), owners))
-        if (accepted) roster.sendAndAwait(RosterInput.Leave(chosen))
-        signal.end()
-        val event = if (accepted) EntryEvent.HANDED_OVER else EntryEvent.HANDOVER_FAILED
-        logger.event(event, "heir" to chosen.entry, "claims" to claims.ended.size, "running" to claims.running.size)
+        heir = findHeir()
+        if (heir == null) home.send(HomeInput.StopClaiming)
     }
 
     /** Gives the heir the claims of the jobs that have ended since, or leaves the last roster. */
@@ -59,15 +52,79 @@
         }
     }
 
-    private suspend fun awaitReachableMember(): EntryMember {
-        var member = roster.reachableMember()
+    private suspend fun findHeir(): EntryMember? {
+        repeat(MOST_OFFERS) {
+            val candidate = withTimeoutOrNull(HEIR_MILLIS) { awaitCandidate() } ?: return null
+            val end = offer(candidate)
+            if (end == HandoverEnd.TAKEN || end == HandoverEnd.IN_DOUBT) return candidate
+            if (end == HandoverEnd.UNANSWERED || self.entry.precedes(candidate.entry)) excluded += candidate.entry
+            delay(RETRY_MILLIS)
+        }
+        return null
+    }
+
+    private suspend fun awaitCandidate(): EntryMember {
+        var member = roster.reachableMember(excluded)
         while (member == null) {
             delay(CHECK_MILLIS)
-            member = roster.reachableMember()
+            member = roster.reachableMember(excluded)
         }
         return member
     }
 
+    private suspend fun offer(candidate: EntryMember): HandoverEnd {
+        signal.begin()
+        val claims = claims(candidate)
+        val end = handOver(candidate, claims)
+        when (end) {
+            HandoverEnd.TAKEN -> roster.sendAndAwait(RosterInput.Leave(candidate))
+            HandoverEnd.REFUSED, HandoverEnd.UNANSWERED -> home.send(HomeInput.ResumeClaiming)
+            HandoverEnd.IN_DOUBT -> Unit
+        }
+        signal.end()
+        logger.event(
+            end.event,
+            "heir" to candidate.entry,
+            "claims" to claims.ended.size,
+            "running" to claims.running.size,
+        )
+        return end
+    }
+
+    private suspend fun handOver(
+        candidate: EntryMember,
+        claims: ClaimsToHand,
+    ): HandoverEnd {
+        val running = claims.running.chunked(CLAIMS_PER_MESSAGE).map { handover(emptyList(), it) }
+        val probe = handover(emptyList(), emptyList())
+        val end = sendAll(candidate, listOf(probe) + running + parts(claims.ended))
+        return if (end == HandoverEnd.TAKEN) sendLast(candidate, claims.owners) else end
+    }
+
+    private suspend fun sendAll(
+        heir: EntryMember,
+        parts: List<(Long) -> Message>,
+    ): HandoverEnd {
+        for (part in parts) {
+            val reply = peers.call(heir, CALL_MILLIS, part) as? HandoverReply ?: return HandoverEnd.UNANSWERED
+            if (!reply.accepted) return HandoverEnd.REFUSED
+        }
+        return HandoverEnd.TAKEN
+    }
+
+    /** Without an answer to the last part, the heir may have taken over, so that only the same heir is asked again. */
+    private suspend fun sendLast(
+        heir: EntryMember,
+        owners: Set<ProcessId>,
+    ): HandoverEnd {
+        val last = listOf(handover(emptyList(), emptyList(), owners))
+        repeat(MOST_LAST_PARTS) {
+            val end = sendAll(heir, last)
+            if (end != HandoverEnd.UNANSWERED) return end
+        }
+        return HandoverEnd.IN_DOUBT
+    }
+
     private suspend fun leaveAlone() {
         roster.sendAndAwait(RosterInput.Leave(null))
         while (roster.view.isMember) delay(CHECK_MILLIS)
@@ -87,16 +144,17 @@
         owners: Set<ProcessId> = emptySet(),
     ): (Long) -> Message = { request -> ClaimHandover(request, self.entry, owners, ended, running) }
 
-    private suspend fun sendAll(
-        heir: EntryMember,
-        parts: List<(Long) -> Message>,
-    ): Boolean = parts.all { part -> (peers.call(heir, CALL_MILLIS, part) as? HandoverReply)?.accepted == true }
-
     private companion object {
         const val CLAIMS_PER_MESSAGE = 200
         const val CALL_MILLIS = 5_000L
         const val HEIR_MILLIS = 2_000L
         const val LEAVE_MILLIS = 3_000L
         const val CHECK_MILLIS = 20L
+        const val RETRY_MILLIS = 50L
+        const val MOST_OFFERS = 40
+        const val MOST_LAST_PARTS = 3
     }
 }
+
+private fun ProcessId.precedes(other: ProcessId): Boolean =
+    compareValuesBy(this, other, { it.name }, { it.incarnation }) < 0
--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/EntryEvent.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/EntryEvent.kt
@@ -28,4 +28,5 @@
     ROSTER_ADOPTED(1400, Level.INFO, "A roster or a handover became known."),
     HANDED_OVER(1401, Level.INFO, "All claims were handed to another entry."),
     HANDOVER_FAILED(1402, Level.WARN, "Claims could not be handed over; their jobs are answered as may have run."),
+    HANDOVER_REFUSED(1403, Level.INFO, "An entry did not take the claims over; this one claims on and asks again."),
 }
--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/HandoverSignal.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/HandoverSignal.kt
@@ -3,26 +3,27 @@
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.withTimeoutOrNull
 
-/** Tells requests that wait for it that the heir has all claims. */
+/** Tells requests that wait for it that an offer of the claims to an heir has ended. Safe for concurrent use. */
 internal class HandoverSignal {
-    private val complete = CompletableDeferred<Unit>()
-
     @Volatile
-    private var isUnderWay = false
+    private var underWay: CompletableDeferred<Unit>? = null
 
-    /** A handover begins; requests wait from now on. */
+    /** An offer begins; requests wait from now on. */
     fun begin() {
-        isUnderWay = true
+        underWay = CompletableDeferred()
     }
 
-    /** The heir has the claims, or will not get them. */
+    /** The heir has the claims, or refused them, or will not answer. */
     fun end() {
-        complete.complete(Unit)
+        val ended = underWay
+        underWay = null
+        ended?.complete(Unit)
     }
 
-    /** Waits until a handover that is under way has ended. */
-    suspend fun await() {
-        if (isUnderWay) withTimeoutOrNull(LONGEST_WAIT_MILLIS) { complete.await() }
+    /** Waits until an offer that is under way has ended; false if none is, or if it takes too long. */
+    suspend fun await(): Boolean {
+        val present = underWay ?: return false
+        return withTimeoutOrNull(LONGEST_WAIT_MILLIS) { present.await() } != null
     }
 
     private companion object {
--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/HomeInput.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/HomeInput.kt
@@ -14,6 +14,7 @@
 import io.egretlock.core.roster.EntryMember
 import io.egretlock.core.roster.Roster
 import io.egretlock.core.settings.StoredTeamSettings
+import io.egretlock.protocol.ClaimHandover
 import io.egretlock.protocol.Link
 import io.egretlock.protocol.Message
 import io.egretlock.protocol.OutcomeReport
@@ -37,10 +38,12 @@
         val reply: CompletableDeferred<ClaimsToHand>,
     ) : Membership
 
-    /** Answer for [claims] and [running] jobs from now on; [reply] tells whether that is possible. */
+    /** The heir refused; claim jobs again. */
+    data object ResumeClaiming : Membership
+
+    /** Answer for the claims and running jobs of [part] from now on; [reply] tells whether that is possible. */
     data class Inherit(
-        val claims: List<HandedClaim>,
-        val running: List<RunningJob>,
+        val part: ClaimHandover,
         val reply: CompletableDeferred<Boolean>,
     ) : Membership
 
@@ -127,8 +130,9 @@
     ) : SubmitReply
 }
 
-/** All claims of a home, for its heir. */
+/** All claims of a home, for its heir; [owners] are the entries that made them. */
 internal data class ClaimsToHand(
     val ended: List<HandedClaim>,
     val running: List<RunningJob>,
+    val owners: Set<ProcessId>,
 )
--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/HomeTask.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/HomeTask.kt
@@ -103,6 +103,7 @@
         when (input) {
             is HomeInput.StopClaiming -> home.stopClaiming()
             is HomeInput.HandOver -> handOver(input)
+            is HomeInput.ResumeClaiming -> custody.takeBack()
             is HomeInput.Inherit -> inherit(input)
             is HomeInput.RostersChanged -> agents.sendAll(RosterUpdate(input.rosters))
             is HomeInput.EntriesChanged -> home.entriesChanged(input.share)
@@ -112,16 +113,17 @@
     private fun handOver(input: HomeInput.HandOver) {
         custody.handOver(input.heir)
         val ended = home.exportClaims(nowMillis())
-        input.reply.complete(ClaimsToHand(ended, custody.runningJobs(home.liveJobIds())))
+        input.reply.complete(ClaimsToHand(ended, custody.runningJobs(home.liveJobIds()), custody.owners))
     }
 
     private fun inherit(input: HomeInput.Inherit) {
-        if (custody.heir == null) {
-            home.importClaims(input.claims, nowMillis())
-            custody.inherit(input.running)
-            custody.ended(input.claims.map { it.claim.job })
+        val accepted = custody.accepts(input.part)
+        if (accepted) {
+            home.importClaims(input.part.claims, nowMillis())
+            custody.inherit(input.part.running)
+            custody.ended(input.part.claims.map { it.claim.job })
         }
-        input.reply.complete(custody.heir == null)
+        input.reply.complete(accepted)
     }
 
     private fun submit(input: HomeInput.Submit) {
--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/JobRouter.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/JobRouter.kt
@@ -60,11 +60,30 @@
         job: Job,
         remainingMillis: Long,
         unlessKnown: Verdict? = null,
-    ): JobOutcome =
-        when (val answer = askHome(job, remainingMillis, unlessKnown)) {
+    ): JobOutcome {
+        val untilMillis = nowMillis() + remainingMillis
+        val first = askHome(job, remainingMillis, unlessKnown)
+        val answer = if (first is SubmitReply.Moved) askAfterOffer(job, untilMillis, unlessKnown) else first
+        return when (answer) {
             is SubmitReply.Ended -> answer.outcome
-            is SubmitReply.Moved -> submitMoved(answer.member, job, remainingMillis)
+            is SubmitReply.Moved -> submitElsewhere(answer.member, job, untilMillis - nowMillis())
+        }
+    }
+
+    /** An heir can claim jobs once it has all claims. If it refused them, this entry claims again. */
+    private suspend fun askAfterOffer(
+        job: Job,
+        untilMillis: Long,
+        unlessKnown: Verdict?,
+    ): SubmitReply {
+        var waited = handover.await()
+        var answer = askHome(job, untilMillis - nowMillis(), unlessKnown)
+        while (waited && answer is SubmitReply.Moved) {
+            waited = handover.await()
+            answer = askHome(job, untilMillis - nowMillis(), unlessKnown)
         }
+        return answer
+    }
 
     private suspend fun askHome(
         job: Job,
@@ -141,16 +160,6 @@
     ): OutcomeReport? =
         (peers.call(member, CALL_MILLIS) { request -> OutcomesRequest(request, team) } as? OutcomesReply)?.report
 
-    /** An heir can claim jobs once it has all claims, which takes no longer than a call. */
-    private suspend fun submitMoved(
-        member: EntryMember,
-        job: Job,
-        remainingMillis: Long,
-    ): JobOutcome {
-        handover.await()
-        return submitElsewhere(member, job, remainingMillis)
-    }
-
     private suspend fun submitElsewhere(
         member: EntryMember,
         job: Job,
--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/LinkServer.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/LinkServer.kt
@@ -108,7 +108,7 @@
 
     private suspend fun inherit(handover: ClaimHandover): Boolean {
         val reply = CompletableDeferred<Boolean>()
-        home.send(HomeInput.Inherit(handover.claims, handover.running, reply))
+        home.send(HomeInput.Inherit(handover, reply))
         val accepted = reply.await()
         if (accepted && handover.owners.isNotEmpty()) roster.inherit(handover.owners, handover.sender)
         return accepted
--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/RosterTask.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/RosterTask.kt
@@ -65,14 +65,14 @@
                 .orEmpty()
                 .filter { it.entry != self.entry }
 
-    /** Another member that answers and stays; null if there is none. */
-    fun reachableMember(): EntryMember? {
+    /** Another member that answers and stays and is not among [excluded]; null if there is none. */
+    fun reachableMember(excluded: Set<ProcessId>): EntryMember? {
         val left =
             view.history
                 ?.handovers
                 .orEmpty()
                 .map { it.from }
-        return otherMembers.filter { it.entry in reachable && it.entry !in left }.randomOrNull()
+        return otherMembers.filter { it.entry in reachable - excluded && it.entry !in left }.randomOrNull()
     }
 
     /** Queues an input. */
--- a/egretlock-entry/src/test/kotlin/io/egretlock/entry/ClaimCustodyTest.kt
+++ b/egretlock-entry/src/test/kotlin/io/egretlock/entry/ClaimCustodyTest.kt
@@ -4,9 +4,12 @@
 import io.egretlock.core.job.ProcessId
 import io.egretlock.core.roster.EntryMember
 import io.egretlock.core.roster.NodeAddress
+import io.egretlock.protocol.ClaimHandover
 import io.egretlock.protocol.RunningJob
 import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertFalse
 import org.junit.jupiter.api.Assertions.assertNull
+import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
 
 class ClaimCustodyTest {
@@ -44,5 +47,25 @@
         )
     }
 
+    @Test
+    fun `given a refused part, when it is repeated after this entry claims again, then it is refused again`() {
+        custody.handOver(leaver)
+        assertFalse(custody.accepts(lastPart(request = 1)))
+        custody.takeBack()
+        assertFalse(custody.accepts(lastPart(request = 1)))
+        assertTrue(custody.accepts(lastPart(request = 2)))
+    }
+
+    @Test
+    fun `given a last part that was taken, when it is repeated while this entry leaves, then it is not refused`() {
+        assertTrue(custody.accepts(lastPart(request = 1)))
+        custody.handOver(member("heir"))
+        assertTrue(custody.accepts(lastPart(request = 2)))
+        assertEquals(setOf(self.entry, leaver.entry), custody.owners)
+    }
+
+    private fun lastPart(request: Long) =
+        ClaimHandover(request, leaver.entry, setOf(leaver.entry), emptyList(), emptyList())
+
     private fun member(name: String) = EntryMember(ProcessId(name, 1), NodeAddress("127.0.0.1", 7000))
 }
--- /dev/null
+++ b/egretlock-entry/src/test/kotlin/io/egretlock/entry/LeavingEntry.kt
@@ -0,0 +1,87 @@
+package io.egretlock.entry
+
+import io.egretlock.core.home.Home
+import io.egretlock.core.home.ServiceDispatchers
+import io.egretlock.core.job.Job
+import io.egretlock.core.placement.fairDispatcher
+import io.egretlock.core.roster.EntryMember
+import io.egretlock.core.roster.RosterHistory
+import io.egretlock.core.roster.RosterInput
+import io.egretlock.core.roster.RosterKeeper
+import io.egretlock.core.roster.RosterTiming
+import io.egretlock.platform.KeyValueStore
+import io.egretlock.platform.StoreEntry
+import io.egretlock.platform.StoreException
+import io.egretlock.platform.StoreSnapshot
+import io.egretlock.platform.SwapResult
+import io.egretlock.protocol.ClaimHandover
+import io.egretlock.protocol.HandoverReply
+import io.egretlock.protocol.Message
+import io.prometheus.metrics.model.registry.PrometheusRegistry
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.flow.Flow
+import kotlinx.coroutines.flow.emptyFlow
+import kotlinx.coroutines.launch
+
+/** An entry without sockets: its home, its roster and its departure. */
+internal class LeavingEntry(
+    val self: EntryMember,
+    peers: PeerCalls,
+    private val scope: CoroutineScope,
+) {
+    private val home =
+        HomeTask(self, Home(ServiceDispatchers { fairDispatcher(it) }), EntryMetrics(PrometheusRegistry())) { 0 }
+    private val store = RosterStore(AbsentStore, System::currentTimeMillis)
+    private val keeper = RosterKeeper(self, RosterTiming())
+    val roster = RosterTask(self, keeper, store, SilentNetwork, scope, System::currentTimeMillis)
+    val departure = Departure(self, roster, home, peers, HandoverSignal())
+
+    suspend fun start(history: RosterHistory) {
+        scope.launch { home.run() }
+        scope.launch { roster.run() }
+        roster.sendAndAwait(RosterInput.HistoryTold(history))
+        roster.otherMembers.forEach { roster.sendAndAwait(RosterInput.PeerReachable(it.entry)) }
+    }
+
+    suspend fun submit(job: Job): SubmitReply {
+        val reply = CompletableDeferred<SubmitReply>()
+        home.send(HomeInput.Submit(job, 1, reply))
+        return reply.await()
+    }
+
+    suspend fun receive(part: ClaimHandover): HandoverReply {
+        val reply = CompletableDeferred<Boolean>()
+        home.send(HomeInput.Inherit(part, reply))
+        val accepted = reply.await()
+        if (accepted && part.owners.isNotEmpty()) roster.inherit(part.owners, part.sender)
+        return HandoverReply(part.request, accepted)
+    }
+
+    private object AbsentStore : KeyValueStore {
+        override suspend fun read(
+            prefix: String,
+            changedAfter: Long,
+        ): StoreSnapshot = throw StoreException("absent")
+
+        override suspend fun compareAndSwap(
+            key: String,
+            expectedRevision: Long,
+            value: String,
+        ): SwapResult = throw StoreException("absent")
+
+        override fun watch(
+            prefix: String,
+            revision: Long,
+        ): Flow<StoreEntry> = emptyFlow()
+    }
+
+    private object SilentNetwork : RosterNetwork {
+        override fun tell(
+            member: EntryMember,
+            message: Message,
+        ) = Unit
+
+        override fun rostersChanged(history: RosterHistory) = Unit
+    }
+}
--- a/model/Claim.tla
+++ b/model/Claim.tla
@@ -22,7 +22,7 @@
 
 CONSTANTS
     Entries,          \* entry incarnations, numbered
-    Features,         \* parts of the protocol in play: "promise", "handover", "bootstrap", "tell"
+    Features,         \* parts of the protocol in play: "promise", "handover", "refuse", "bootstrap", "tell"
     FirstMembers,     \* members of the first roster
     MaxRosters,       \* length of the list at which publications end
     MaxTime,          \* last clock tick
@@ -35,7 +35,9 @@
     HoldPromises,
     DistrustReadBack,
     HoldBootstrap,
-    OneHeir
+    OneHeir,
+    FinalRefusal,
+    MaxHandovers      \* handover messages at which planned stops end
 
 VARIABLES
     now, created, skew,
@@ -49,7 +51,7 @@
     asked,     \* entry -> the question would extend the horizon far enough
     inLimit,   \* entry -> created before last store read plus PromiseLimit
     alive, leaving,
-    handovers, \* handover messages: from, to, whether the id was settled
+    handovers, \* handover messages: from, to, whether the id was settled, owners, whether the heir refused
     heirOf,    \* entry -> entries whose claims it took over
     knows,     \* entry -> the id is in its claim table
     settlers   \* entries that settled the id as a new one
@@ -179,24 +181,45 @@
     /\ UNCHANGED <<now, created, skew, store, flight, unsettled, view, gain, inLimit, alive, leaving, handovers,
                    heirOf, knows, settlers>>
 
-\* A planned stop: the leaver stops settling and names one heir, once.
+\* A planned stop: the leaver stops settling and names one heir; another only after a refusal.
 Leave(e, f) ==
     /\ "handover" \in Features
     /\ alive[e] /\ e # f /\ view[e] > 0
+    /\ Cardinality(handovers) < MaxHandovers
     /\ \/ ~leaving[e]
        \/ ~OneHeir /\ Cardinality({h \in handovers : h.from = e}) < 2
     /\ leaving' = [leaving EXCEPT ![e] = TRUE]
-    /\ handovers' = handovers \union {[from |-> e, to |-> f, settled |-> knows[e], owned |-> {e} \union heirOf[e]]}
+    /\ handovers' = handovers \union {[from |-> e, to |-> f, settled |-> knows[e], owned |-> {e} \union heirOf[e],
+           refused |-> FALSE]}
     /\ UNCHANGED <<now, created, skew, store, flight, unsettled, view, horizon, gain, promisers, asked, inLimit,
                    alive, heirOf, knows, settlers>>
 
 TakeOver(h) ==
     /\ alive[h.to] /\ h.from \notin heirOf[h.to] /\ ~leaving[h.to]
+    /\ FinalRefusal => ~h.refused
     /\ heirOf' = [heirOf EXCEPT ![h.to] = @ \union h.owned]
     /\ knows' = [knows EXCEPT ![h.to] = @ \/ h.settled]
     /\ UNCHANGED <<now, created, skew, store, flight, unsettled, view, horizon, gain, promisers, asked, inLimit,
                    alive, leaving, handovers, settlers>>
 
+\* An heir that is leaving itself refuses. A refusal is final, and so is having taken over.
+Refuse(h) ==
+    /\ "refuse" \in Features
+    /\ alive[h.to] /\ leaving[h.to] /\ ~h.refused
+    /\ FinalRefusal => h.from \notin heirOf[h.to]
+    /\ handovers' = (handovers \ {h}) \union {[h EXCEPT !.refused = TRUE]}
+    /\ UNCHANGED <<now, created, skew, store, flight, unsettled, view, horizon, gain, promisers, asked, inLimit,
+                   alive, leaving, heirOf, knows, settlers>>
+
+\* A leaver whose heirs all refused claims again, and may name another.
+Resume(e) ==
+    /\ "refuse" \in Features
+    /\ alive[e] /\ leaving[e]
+    /\ \A h \in handovers : h.from = e => h.refused
+    /\ leaving' = [leaving EXCEPT ![e] = FALSE]
+    /\ UNCHANGED <<now, created, skew, store, flight, unsettled, view, horizon, gain, promisers, asked, inLimit,
+                   alive, handovers, heirOf, knows, settlers>>
+
 \* A dead entry differs from one that takes no more steps only for a bootstrap.
 Crash(e) ==
     /\ "bootstrap" \in Features
@@ -233,9 +256,10 @@
 
 Next ==
     \/ Tick
-    \/ \E h \in handovers : TakeOver(h)
+    \/ \E h \in handovers : TakeOver(h) \/ Refuse(h)
     \/ \E e \in Entries :
         \/ Settle(e) \/ Read(e) \/ Publish(e) \/ Bootstrap(e) \/ Land(e) \/ Ask(e) \/ Confirm(e) \/ Crash(e)
+        \/ Resume(e)
         \/ \E f \in Entries : Tell(e, f) \/ Promise(f, e) \/ Leave(e, f)
 
 Spec == Init /\ [][Next]_vars
