Bind a handover to one process, cut it by bytes, pass on to leavers

Three changes that were built and run together:

A handover's part is repeated after a reconnection, and may then reach a later process at the heir's address, which cannot know what the former one took. It could take the owners over though the former one had claimed their jobs. The part now names the process that is meant, the reply the one that answers; a reply of another one is none. 2. Parts were cut by 200 claims whatever their answers; a frame holds 64 MB. They are cut by 8 MiB of answers as well. 3. A cancellation or state query of a job that still runs at a leaver was not known at the heir. The heir passes it on to the entry that holds the job, and only along the record of running jobs, never to an heir, so that no two entries pass it to and fro.

Ruled out: a check by the leaver alone, as the later process would have taken the owners over by then.

Runs: mvn -pl egretlock-entry -am verify -Dtest=DepartureTest,ClaimCustodyTest, JobRouterTest,HandoverPartsTest,InheritedJobTest: all passed, lint green. The new tests were not run on the former code. Not run: tests of processes.

--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/ClaimCustody.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/ClaimCustody.kt
@@ -38,9 +38,10 @@
     /**
      * Whether this entry takes a part of a handover; not if it is leaving itself. Requests are repeated, and either answer
      * is final: a leaver that was refused claims again, so that no late repetition may be taken, and a leaver whose last
-     * part was taken must never be refused.
+     * part was taken must never be refused. A part for another process at this address is not taken.
      */
     fun accepts(part: ClaimHandover): Boolean {
+        if (part.heir != self.entry) return false
         val isLast = part.owners.isNotEmpty()
         if (isLast && part.sender in predecessors) return true
         val refusedRequest = refusedRequests[part.sender]
@@ -61,7 +62,10 @@
     }
 
     /** Who answers for [job], which is not known here; null if this entry may claim it. */
-    fun holderOf(job: JobId): EntryMember? = running[job] ?: heir
+    fun holderOf(job: JobId): EntryMember? = runningAt(job) ?: heir
+
+    /** The other entry that lets [job] end; null if none is known. */
+    fun runningAt(job: JobId): EntryMember? = running[job]
 
     /** All jobs that have not ended: [own] ones and those at other entries. */
     fun runningJobs(own: List<JobId>): List<RunningJob> =
--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/Departure.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/Departure.kt
@@ -48,7 +48,7 @@
     suspend fun finish() {
         when (val chosen = heir) {
             null -> withTimeoutOrNull(LEAVE_MILLIS) { leaveAlone() }
-            else -> sendAll(chosen, parts(claims(chosen).ended))
+            else -> sendAll(chosen, parts(chosen, claims(chosen).ended))
         }
     }
 
@@ -95,9 +95,9 @@
         candidate: EntryMember,
         claims: ClaimsToHand,
     ): HandoverEnd {
-        val running = claims.running.chunked(CLAIMS_PER_MESSAGE).map { handover(emptyList(), it) }
-        val probe = handover(emptyList(), emptyList())
-        val end = sendAll(candidate, listOf(probe) + running + parts(claims.ended))
+        val probe = handover(candidate)
+        val running = claims.running.chunked(CLAIMS_PER_MESSAGE).map { handover(candidate, running = it) }
+        val end = sendAll(candidate, listOf(probe) + running + parts(candidate, claims.ended))
         return if (end == HandoverEnd.TAKEN) sendLast(candidate, claims.owners) else end
     }
 
@@ -106,7 +106,8 @@
         parts: List<(Long) -> Message>,
     ): HandoverEnd {
         for (part in parts) {
-            val reply = peers.call(heir, CALL_MILLIS, part) as? HandoverReply ?: return HandoverEnd.UNANSWERED
+            val reply = peers.call(heir, CALL_MILLIS, part) as? HandoverReply
+            if (reply?.heir != heir.entry) return HandoverEnd.UNANSWERED
             if (!reply.accepted) return HandoverEnd.REFUSED
         }
         return HandoverEnd.TAKEN
@@ -117,7 +118,7 @@
         heir: EntryMember,
         owners: Set<ProcessId>,
     ): HandoverEnd {
-        val last = listOf(handover(emptyList(), emptyList(), owners))
+        val last = listOf(handover(heir, owners = owners))
         repeat(MOST_LAST_PARTS) {
             val end = sendAll(heir, last)
             if (end != HandoverEnd.UNANSWERED) return end
@@ -136,13 +137,17 @@
         return reply.await()
     }
 
-    private fun parts(ended: List<HandedClaim>) = ended.chunked(CLAIMS_PER_MESSAGE).map { handover(it, emptyList()) }
+    private fun parts(
+        heir: EntryMember,
+        ended: List<HandedClaim>,
+    ) = HandoverParts.of(ended).map { handover(heir, ended = it) }
 
     private fun handover(
-        ended: List<HandedClaim>,
-        running: List<RunningJob>,
+        heir: EntryMember,
         owners: Set<ProcessId> = emptySet(),
-    ): (Long) -> Message = { request -> ClaimHandover(request, self.entry, owners, ended, running) }
+        ended: List<HandedClaim> = emptyList(),
+        running: List<RunningJob> = emptyList(),
+    ): (Long) -> Message = { request -> ClaimHandover(request, self.entry, heir.entry, owners, ended, running) }
 
     private companion object {
         const val CLAIMS_PER_MESSAGE = 200
--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/HomeInput.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/HomeInput.kt
@@ -47,6 +47,12 @@
         val reply: CompletableDeferred<Boolean>,
     ) : Membership
 
+    /** Which other entry lets [job] end? [reply] gets null if none is known. */
+    data class Holder(
+        val job: JobId,
+        val reply: CompletableDeferred<EntryMember?>,
+    ) : Membership
+
     /** Agents must connect to the members of [rosters]. */
     data class RostersChanged(
         val rosters: List<Roster>,
--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/HomeTask.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/HomeTask.kt
@@ -105,6 +105,7 @@
             is HomeInput.HandOver -> handOver(input)
             is HomeInput.ResumeClaiming -> custody.takeBack()
             is HomeInput.Inherit -> inherit(input)
+            is HomeInput.Holder -> input.reply.complete(custody.runningAt(input.job))
             is HomeInput.RostersChanged -> agents.sendAll(RosterUpdate(input.rosters))
             is HomeInput.EntriesChanged -> home.entriesChanged(input.share)
         }
--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/JobRouter.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/JobRouter.kt
@@ -101,18 +101,35 @@
         createdAtMillis: Long,
     ): JobOutcome? =
         when (val location = locator.locate(job, createdAtMillis)) {
-            is JobLocation.Here -> cancelHere(job)
-            is JobLocation.HereIfKnown -> cancelHere(job) ?: JobOutcome.WithoutAnswer(location.otherwise)
+            is JobLocation.Here -> cancelHere(job, createdAtMillis)
+            is JobLocation.HereIfKnown ->
+                cancelHere(job, createdAtMillis) ?: JobOutcome.WithoutAnswer(location.otherwise)
             is JobLocation.Nowhere -> JobOutcome.WithoutAnswer(location.verdict)
-            is JobLocation.Elsewhere -> {
-                val reply =
-                    peers.call(location.member, CALL_MILLIS) { request -> ForwardCancel(request, job, createdAtMillis) }
-                (reply as? ForwardReply)?.outcome ?: homeLost(location.member)
-            }
+            is JobLocation.Elsewhere -> cancelAt(location.member, job, createdAtMillis)
         }
 
-    /** Cancels a job at this entry. */
-    suspend fun cancelHere(job: JobId): JobOutcome? {
+    /** Cancels a job at this entry, or at the leaving one that lets it end. */
+    suspend fun cancelHere(
+        job: JobId,
+        createdAtMillis: Long,
+    ): JobOutcome? = cancelKnown(job) ?: holder(job)?.let { cancelAt(it, job, createdAtMillis) }
+
+    private suspend fun cancelAt(
+        member: EntryMember,
+        job: JobId,
+        createdAtMillis: Long,
+    ): JobOutcome {
+        val reply = peers.call(member, CALL_MILLIS) { request -> ForwardCancel(request, job, createdAtMillis) }
+        return (reply as? ForwardReply)?.outcome ?: homeLost(member)
+    }
+
+    private suspend fun holder(job: JobId): EntryMember? {
+        val reply = CompletableDeferred<EntryMember?>()
+        home.send(HomeInput.Holder(job, reply))
+        return reply.await()
+    }
+
+    private suspend fun cancelKnown(job: JobId): JobOutcome? {
         val reply = CompletableDeferred<JobOutcome?>()
         home.send(HomeInput.Cancel(job, reply))
         return reply.await()
@@ -127,18 +144,23 @@
             is JobLocation.Here -> stateHere(job)
             is JobLocation.HereIfKnown -> stateHere(job)
             is JobLocation.Nowhere -> JobState.UNKNOWN
-            is JobLocation.Elsewhere -> {
-                val reply = peers.call(location.member, CALL_MILLIS) { request -> ForwardQuery(request, job) }
-                (reply as? ForwardStateReply)?.state ?: JobState.UNKNOWN
-            }
+            is JobLocation.Elsewhere -> stateAt(location.member, job)
         }
 
-    /** How far a job is at this entry. */
+    private suspend fun stateAt(
+        member: EntryMember,
+        job: JobId,
+    ): JobState {
+        val reply = peers.call(member, CALL_MILLIS) { request -> ForwardQuery(request, job) }
+        return (reply as? ForwardStateReply)?.state ?: JobState.UNKNOWN
+    }
+
+    /** How far a job is at this entry, or at the leaving one that lets it end. */
     suspend fun stateHere(job: JobId): JobState {
         val reply = CompletableDeferred<JobProgress?>()
         home.send(HomeInput.Query(job, reply))
         return when (reply.await()) {
-            null -> JobState.UNKNOWN
+            null -> holder(job)?.let { stateAt(it, job) } ?: JobState.UNKNOWN
             JobProgress.QUEUED -> JobState.QUEUED
             JobProgress.RUNNING -> JobState.RUNNING
             JobProgress.COMPLETE -> JobState.COMPLETE
--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/LinkServer.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/LinkServer.kt
@@ -83,10 +83,16 @@
     ) {
         when (message) {
             is ForwardJob -> counted { answerJob(link, message) }
-            is ForwardCancel -> link.send(ForwardReply(message.request, router.cancelHere(message.job) ?: unknownJob()))
+            is ForwardCancel ->
+                link.send(
+                    ForwardReply(
+                        message.request,
+                        router.cancelHere(message.job, message.createdAtMillis) ?: unknownJob(),
+                    ),
+                )
             is ForwardQuery -> link.send(ForwardStateReply(message.request, router.stateHere(message.job)))
             is OutcomesRequest -> link.send(OutcomesReply(message.request, router.outcomesHere(message.team)))
-            is ClaimHandover -> link.send(HandoverReply(message.request, inherit(message)))
+            is ClaimHandover -> link.send(HandoverReply(message.request, entry, inherit(message)))
             else -> exchange.received(message)
         }
     }
--- a/egretlock-entry/src/test/kotlin/io/egretlock/entry/ClaimCustodyTest.kt
+++ b/egretlock-entry/src/test/kotlin/io/egretlock/entry/ClaimCustodyTest.kt
@@ -64,8 +64,16 @@
         assertEquals(setOf(self.entry, leaver.entry), custody.owners)
     }
 
-    private fun lastPart(request: Long) =
-        ClaimHandover(request, leaver.entry, setOf(leaver.entry), emptyList(), emptyList())
+    @Test
+    fun `given a part for an earlier process at this address, when it arrives, then it is not taken`() {
+        assertFalse(custody.accepts(lastPart(request = 1, heir = ProcessId("self", 0))))
+        assertEquals(setOf(self.entry), custody.owners)
+    }
+
+    private fun lastPart(
+        request: Long,
+        heir: ProcessId = self.entry,
+    ) = ClaimHandover(request, leaver.entry, heir, setOf(leaver.entry), emptyList(), emptyList())
 
     private fun member(name: String) = EntryMember(ProcessId(name, 1), NodeAddress("127.0.0.1", 7000))
 }
--- a/egretlock-entry/src/test/kotlin/io/egretlock/entry/DepartureTest.kt
+++ b/egretlock-entry/src/test/kotlin/io/egretlock/entry/DepartureTest.kt
@@ -13,6 +13,7 @@
 import io.egretlock.core.roster.Roster
 import io.egretlock.core.roster.RosterHistory
 import io.egretlock.protocol.ClaimHandover
+import io.egretlock.protocol.HandoverReply
 import io.egretlock.protocol.Message
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.cancelChildren
@@ -63,6 +64,20 @@
             assertEquals(listOf(Handover(leaver.self.entry, heir.self)), leaver.handovers())
         }
 
+    @Test
+    fun `given an heir that did not answer, when a later process at its address refuses, then no other is asked`() =
+        withEntries(3) { (leaver) ->
+            lostAnswersToLastParts = 1
+            isFirstAskedReplaced = true
+            leaver.departure.begin()
+            val heir =
+                all.single {
+                    it.roster.view.inherited
+                        .isNotEmpty()
+                }
+            assertEquals(SubmitReply.Moved(heir.self), leaver.submit(job))
+        }
+
     private fun withEntries(
         count: Int,
         body: suspend Entries.(List<LeavingEntry>) -> Unit,
@@ -80,6 +95,7 @@
         private var requests = 0L
         var silent: EntryMember? = null
         var isFirstAskedSilent = false
+        var isFirstAskedReplaced = false
         var lostAnswersToLastParts = 0
         var all = emptyList<LeavingEntry>()
 
@@ -89,6 +105,9 @@
             all.forEach { it.start(RosterHistory(listOf(Roster(1, 0, members)))) }
         }
 
+        private fun refusalOfLaterProcess(part: ClaimHandover) =
+            HandoverReply(part.request, part.heir.copy(incarnation = part.heir.incarnation + 1), accepted = false)
+
         suspend fun leaveAtOnce(vararg leavers: LeavingEntry) =
             coroutineScope { leavers.forEach { launch { it.departure.begin() } } }
 
@@ -113,8 +132,10 @@
             if (isFirstAskedSilent && silent == null) silent = member
             if (member == silent) return null
             val part = message(++requests) as ClaimHandover
+            if (isFirstAskedReplaced && lostAnswersToLastParts == 0) return refusalOfLaterProcess(part)
             val reply = all.single { it.self == member }.receive(part)
-            val isLost = part.owners.isNotEmpty() && lostAnswersToLastParts-- > 0
+            val isLost = part.owners.isNotEmpty() && lostAnswersToLastParts > 0
+            if (isLost) lostAnswersToLastParts--
             return reply.takeIf { !isLost }
         }
     }
--- a/egretlock-entry/src/test/kotlin/io/egretlock/entry/LeavingEntry.kt
+++ b/egretlock-entry/src/test/kotlin/io/egretlock/entry/LeavingEntry.kt
@@ -55,7 +55,7 @@
         home.send(HomeInput.Inherit(part, reply))
         val accepted = reply.await()
         if (accepted && part.owners.isNotEmpty()) roster.inherit(part.owners, part.sender)
-        return HandoverReply(part.request, accepted)
+        return HandoverReply(part.request, self.entry, accepted)
     }
 
     private object AbsentStore : KeyValueStore {
--- a/egretlock-protocol/src/main/kotlin/io/egretlock/protocol/RosterMessages.kt
+++ b/egretlock-protocol/src/main/kotlin/io/egretlock/protocol/RosterMessages.kt
@@ -41,6 +41,7 @@
 /**
  * Entry that leaves to its heir: claims that the heir answers for from now on. Answered by [HandoverReply].
  *
+ * @property heir the process that is meant: a later one at its address cannot know what the heir took.
  * @property running jobs that have not ended, each at the entry that will answer for it until then.
  * @property owners the sender and the entries that it had inherited from; empty in all parts but the last.
  */
@@ -49,6 +50,7 @@
 data class ClaimHandover(
     val request: Long,
     val sender: ProcessId,
+    val heir: ProcessId,
     val owners: Set<ProcessId>,
     val claims: List<HandedClaim>,
     val running: List<RunningJob>,
@@ -61,10 +63,11 @@
     val holder: EntryMember,
 )
 
-/** Heir to the entry that leaves: this part of the claims is recorded, or refused because the heir is leaving too. */
+/** [heir] to the entry that leaves: this part of the claims is recorded, or refused because the heir is leaving too. */
 @Serializable
 @SerialName("handover-reply")
 data class HandoverReply(
     override val request: Long,
+    val heir: ProcessId,
     val accepted: Boolean,
 ) : ReplyMessage
