--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/JobRouter.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/JobRouter.kt
@@ -60,11 +60,30 @@
         job: Job,
         remainingMillis: Long,
         unlessKnown: Verdict? = null,
-    ): JobOutcome =
-        when (val answer = askHome(job, remainingMillis, unlessKnown)) {
+    ): JobOutcome {
+        val untilMillis = nowMillis() + remainingMillis
+        val first = askHome(job, remainingMillis, unlessKnown)
+        val answer = if (first is SubmitReply.Moved) askAfterOffer(job, untilMillis, unlessKnown) else first
+        return when (answer) {
             is SubmitReply.Ended -> answer.outcome
-            is SubmitReply.Moved -> submitMoved(answer.member, job, remainingMillis)
+            is SubmitReply.Moved -> submitElsewhere(answer.member, job, untilMillis - nowMillis())
         }
+    }
+
+    /** An heir can claim jobs once it has all claims. If it refused them, this entry claims again. */
+    private suspend fun askAfterOffer(
+        job: Job,
+        untilMillis: Long,
+        unlessKnown: Verdict?,
+    ): SubmitReply {
+        var waited = handover.await()
+        var answer = askHome(job, untilMillis - nowMillis(), unlessKnown)
+        while (waited && answer is SubmitReply.Moved) {
+            waited = handover.await()
+            answer = askHome(job, untilMillis - nowMillis(), unlessKnown)
+        }
+        return answer
+    }
 
     private suspend fun askHome(
         job: Job,
@@ -82,18 +101,35 @@
         createdAtMillis: Long,
     ): JobOutcome? =
         when (val location = locator.locate(job, createdAtMillis)) {
-            is JobLocation.Here -> cancelHere(job)
-            is JobLocation.HereIfKnown -> cancelHere(job) ?: JobOutcome.WithoutAnswer(location.otherwise)
+            is JobLocation.Here -> cancelHere(job, createdAtMillis)
+            is JobLocation.HereIfKnown ->
+                cancelHere(job, createdAtMillis) ?: JobOutcome.WithoutAnswer(location.otherwise)
             is JobLocation.Nowhere -> JobOutcome.WithoutAnswer(location.verdict)
-            is JobLocation.Elsewhere -> {
-                val reply =
-                    peers.call(location.member, CALL_MILLIS) { request -> ForwardCancel(request, job, createdAtMillis) }
-                (reply as? ForwardReply)?.outcome ?: homeLost(location.member)
-            }
+            is JobLocation.Elsewhere -> cancelAt(location.member, job, createdAtMillis)
         }
 
-    /** Cancels a job at this entry. */
-    suspend fun cancelHere(job: JobId): JobOutcome? {
+    /** Cancels a job at this entry, or at the leaving one that lets it end. */
+    suspend fun cancelHere(
+        job: JobId,
+        createdAtMillis: Long,
+    ): JobOutcome? = cancelKnown(job) ?: holder(job)?.let { cancelAt(it, job, createdAtMillis) }
+
+    private suspend fun cancelAt(
+        member: EntryMember,
+        job: JobId,
+        createdAtMillis: Long,
+    ): JobOutcome {
+        val reply = peers.call(member, CALL_MILLIS) { request -> ForwardCancel(request, job, createdAtMillis) }
+        return (reply as? ForwardReply)?.outcome ?: homeLost(member)
+    }
+
+    private suspend fun holder(job: JobId): EntryMember? {
+        val reply = CompletableDeferred<EntryMember?>()
+        home.send(HomeInput.Holder(job, reply))
+        return reply.await()
+    }
+
+    private suspend fun cancelKnown(job: JobId): JobOutcome? {
         val reply = CompletableDeferred<JobOutcome?>()
         home.send(HomeInput.Cancel(job, reply))
         return reply.await()
@@ -108,18 +144,23 @@
             is JobLocation.Here -> stateHere(job)
             is JobLocation.HereIfKnown -> stateHere(job)
             is JobLocation.Nowhere -> JobState.UNKNOWN
-            is JobLocation.Elsewhere -> {
-                val reply = peers.call(location.member, CALL_MILLIS) { request -> ForwardQuery(request, job) }
-                (reply as? ForwardStateReply)?.state ?: JobState.UNKNOWN
-            }
+            is JobLocation.Elsewhere -> stateAt(location.member, job)
         }
 
-    /** How far a job is at this entry. */
+    private suspend fun stateAt(
+        member: EntryMember,
+        job: JobId,
+    ): JobState {
+        val reply = peers.call(member, CALL_MILLIS) { request -> ForwardQuery(request, job) }
+        return (reply as? ForwardStateReply)?.state ?: JobState.UNKNOWN
+    }
+
+    /** How far a job is at this entry, or at the leaving one that lets it end. */
     suspend fun stateHere(job: JobId): JobState {
         val reply = CompletableDeferred<JobProgress?>()
         home.send(HomeInput.Query(job, reply))
         return when (reply.await()) {
-            null -> JobState.UNKNOWN
+            null -> holder(job)?.let { stateAt(it, job) } ?: JobState.UNKNOWN
             JobProgress.QUEUED -> JobState.QUEUED
             JobProgress.RUNNING -> JobState.RUNNING
             JobProgress.COMPLETE -> JobState.COMPLETE
@@ -141,16 +182,6 @@
     ): OutcomeReport? =
         (peers.call(member, CALL_MILLIS) { request -> OutcomesRequest(request, team) } as? OutcomesReply)?.report
 
-    /** An heir can claim jobs once it has all claims, which takes no longer than a call. */
-    private suspend fun submitMoved(
-        member: EntryMember,
-        job: Job,
-        remainingMillis: Long,
-    ): JobOutcome {
-        handover.await()
-        return submitElsewhere(member, job, remainingMillis)
-    }
-
     private suspend fun submitElsewhere(
         member: EntryMember,
         job: Job,
--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/LinkServer.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/LinkServer.kt
@@ -83,10 +83,16 @@
     ) {
         when (message) {
             is ForwardJob -> counted { answerJob(link, message) }
-            is ForwardCancel -> link.send(ForwardReply(message.request, router.cancelHere(message.job) ?: unknownJob()))
+            is ForwardCancel ->
+                link.send(
+                    ForwardReply(
+                        message.request,
+                        router.cancelHere(message.job, message.createdAtMillis) ?: unknownJob(),
+                    ),
+                )
             is ForwardQuery -> link.send(ForwardStateReply(message.request, router.stateHere(message.job)))
             is OutcomesRequest -> link.send(OutcomesReply(message.request, router.outcomesHere(message.team)))
-            is ClaimHandover -> link.send(HandoverReply(message.request, inherit(message)))
+            is ClaimHandover -> link.send(HandoverReply(message.request, entry, inherit(message)))
             else -> exchange.received(message)
         }
     }
@@ -108,7 +114,7 @@
 
     private suspend fun inherit(handover: ClaimHandover): Boolean {
         val reply = CompletableDeferred<Boolean>()
-        home.send(HomeInput.Inherit(handover.claims, handover.running, reply))
+        home.send(HomeInput.Inherit(handover, reply))
         val accepted = reply.await()
         if (accepted && handover.owners.isNotEmpty()) roster.inherit(handover.owners, handover.sender)
         return accepted
