Tell agents that granted credits when the need is gone

A home asks several agents for the same backlog. What it does not use of the granted credits stays reserved at the agent, since it was asked for, until the home says that it needs none; but the home said so only to agents whose request was still open. Another entry that holds anything at that agent does not count as starving, so that it never got the slot.

Ruled out: a leak in the ledger (its sums are exact) and the idle ticks (a home with live jobs ticks every 20 ms).

Change: once a home needs no more credits, it tells the agents that met its requests too, once.

Before: CreditRequestsTest 1 of 9 red, the agents were told nothing. After: CreditRequestsTest, SlotLedgerTest and HomeTest green.

--- a/egretlock-core/src/main/kotlin/io/egretlock/core/home/CreditRequests.kt
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/home/CreditRequests.kt
@@ -7,8 +7,9 @@
  * Decides which agents a [Home] asks for credits, and for how many.
  *
  * A backlog is asked of a few agents at a time, so that the messages depend on the backlog and not on the number of
- * agents; those that were asked and granted nothing by the next tick are presumed busy, and further ones are asked. A
- * request ends with the credits that it brings, or is withdrawn once the backlog is gone.
+ * agents; those that were asked and granted nothing by the next tick are presumed busy, and further ones are asked. Once
+ * the backlog is gone, requests are withdrawn, also from agents that have met theirs: several agents are asked for the
+ * same backlog, and credits that it did not use are then free for others.
  */
 internal class CreditRequests {
     private val services = linkedMapOf<ServiceName, ServiceAgents>()
@@ -68,6 +69,9 @@
     private class ServiceAgents {
         val idle = linkedSetOf<Candidate>()
         private val asked = linkedSetOf<Candidate>()
+
+        /** Agents that granted credits since the backlog was gone last. */
+        private val met = linkedSetOf<Candidate>()
         private var expected = 0
 
         fun ask(wanted: Int): List<HomeEffect.RequestCredits> {
@@ -87,9 +91,10 @@
             count: Int,
         ) {
             if (candidate.outstanding == 0) return
-            val met = minOf(count, candidate.outstanding)
-            candidate.outstanding -= met
-            if (candidate.isExpected) expected -= met
+            val granted = minOf(count, candidate.outstanding)
+            candidate.outstanding -= granted
+            if (candidate.isExpected) expected -= granted
+            met += candidate
             if (candidate.outstanding == 0) release(candidate)
         }
 
@@ -99,15 +104,19 @@
             expected = 0
         }
 
-        fun withdraw(): List<HomeEffect.RequestCredits> =
-            asked.toList().map { candidate ->
+        fun withdraw(): List<HomeEffect.RequestCredits> {
+            val told = asked + met
+            met.clear()
+            return told.map { candidate ->
                 release(candidate)
                 HomeEffect.RequestCredits(candidate.agent, 0)
             }
+        }
 
         fun remove(candidate: Candidate) {
             release(candidate)
             idle.remove(candidate)
+            met.remove(candidate)
         }
 
         private fun ask(
--- a/egretlock-core/src/test/kotlin/io/egretlock/core/gate/SlotLedgerTest.kt
+++ b/egretlock-core/src/test/kotlin/io/egretlock/core/gate/SlotLedgerTest.kt
@@ -39,6 +39,17 @@
         assertEquals(listOf(Recall(second, 2)), ledger.requested(first, 4))
     }
 
+    @Test
+    fun `given an unused credit that was asked for, when its entry needs it no more, then another gets it`() {
+        ledger.connected(first)
+        ledger.connected(second)
+        ledger.requested(second, 2)
+        assertEquals(listOf(Grant(second, 1)), ledger.resize(1))
+        assertEquals(none, ledger.requested(first, 1))
+        assertEquals(listOf(Recall(second, 1)), ledger.requested(second, 0))
+        assertEquals(listOf(Grant(first, 1)), ledger.returned(second, 1))
+    }
+
     @Test
     fun `given an entry under load, when another connects and asks for nothing, then freed slots stay`() {
         ledger.resize(2)
--- a/egretlock-core/src/test/kotlin/io/egretlock/core/home/CreditRequestsTest.kt
+++ b/egretlock-core/src/test/kotlin/io/egretlock/core/home/CreditRequestsTest.kt
@@ -54,6 +54,17 @@
         assertEquals(emptyList<HomeEffect.RequestCredits>(), requests.tick { 0 })
     }
 
+    @Test
+    fun `given more granted than was needed, when the need is gone, then each agent that granted is told once`() {
+        val asked = requests.requests { 1 }
+        asked.forEach { requests.granted(it.agent, it.wanted) }
+        assertEquals(
+            asked.map { HomeEffect.RequestCredits(it.agent, 0) }.toSet(),
+            requests.tick { 0 }.toSet(),
+        )
+        assertEquals(emptyList<HomeEffect.RequestCredits>(), requests.tick { 0 })
+    }
+
     @Test
     fun `given an asked agent disconnects, when the need stands, then its part is asked of others`() {
         requests.requests { 4 }.forEach { requests.disconnected(it.agent) }
