Close a leaving entry only when no request comes any more

The second entry closed its listener 665 ms after it had begun to drain, that is at the first look after the notice time of 600 ms, though the balancer's side had not noticed yet: its check asks the entry that has just started first, which answers slowly. A count of 0 also says nothing of an answer that has not left the process yet.

Ruled out: the drain's limit of 10 s (not reached).

Change: an entry closes once no request has come and no answer has left for the notice time; the limit of the drain stays.

Before: closed after the notice time whatever came.

--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/EntryProcess.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/EntryProcess.kt
@@ -56,7 +56,7 @@
     private val self = EntryMember(ProcessId(settings.name, System.currentTimeMillis()), settings.advertisedLinkAddress)
     private val registry = PrometheusRegistry()
     private val store = BudgetedStore(platformStore, StoreCallBudget(StoreCallLimits(), registry))
-    private val drain = Drain()
+    private val drain = Drain(::monotonicMillis)
     private val metrics = EntryMetrics(registry)
     private val jobs = Home(ServiceDispatchers { service -> fairDispatcher(service) })
     private val home = HomeTask(self, jobs, metrics, ::monotonicMillis)
@@ -115,10 +115,9 @@
         return json.encodeToString(EntryDump(self, ready, drain.requestsInFlight, roster.view, reply.await()))
     }
 
-    /** The balancer needs time to notice that `/ready` has changed; until then it sends requests. */
+    /** Until the balancer has noticed that `/ready` has changed, it sends requests. */
     private suspend fun awaitDrained() {
-        delay(settings.noticeMillis)
-        while (drain.requestsInFlight > 0 || liveJobs() > 0) delay(DRAIN_CHECK_MILLIS)
+        while (!drain.isQuiet(settings.noticeMillis) || liveJobs() > 0) delay(DRAIN_CHECK_MILLIS)
     }
 
     private suspend fun liveJobs(): Int {
--- /dev/null
+++ b/egretlock-entry/src/test/kotlin/io/egretlock/entry/DrainTest.kt
@@ -0,0 +1,48 @@
+package io.egretlock.entry
+
+import org.junit.jupiter.api.Assertions.assertFalse
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+
+class DrainTest {
+    private var nowMillis = 5_000L
+    private val drain = Drain { nowMillis }
+
+    @Test
+    fun `given a drain that begins, when no request comes, then it is quiet after the notice time`() {
+        drain.begin()
+        nowMillis += NOTICE_MILLIS - 1
+        assertFalse(drain.isQuiet(NOTICE_MILLIS))
+        nowMillis += 1
+        assertTrue(drain.isQuiet(NOTICE_MILLIS))
+    }
+
+    @Test
+    fun `given a balancer that still sends requests, when the notice time is over, then the drain goes on`() {
+        drain.begin()
+        repeat(3) {
+            nowMillis += NOTICE_MILLIS
+            drain.enter()
+            drain.leave()
+            assertFalse(drain.isQuiet(NOTICE_MILLIS))
+        }
+        nowMillis += NOTICE_MILLIS
+        assertTrue(drain.isQuiet(NOTICE_MILLIS))
+    }
+
+    @Test
+    fun `given a request in flight, when its answer leaves, then the answer has the notice time to arrive`() {
+        drain.begin()
+        drain.enter()
+        nowMillis += 10 * NOTICE_MILLIS
+        assertFalse(drain.isQuiet(NOTICE_MILLIS))
+        drain.leave()
+        assertFalse(drain.isQuiet(NOTICE_MILLIS))
+        nowMillis += NOTICE_MILLIS
+        assertTrue(drain.isQuiet(NOTICE_MILLIS))
+    }
+
+    private companion object {
+        const val NOTICE_MILLIS = 600L
+    }
+}
