Promise nothing about a request whose creation time is ahead

Cause: a refusal for a creation time ahead of the clock said "not run", but is not remembered: the same request, delayed until its time has come, would run, so that "not run" became false. Recording it at a home does not hold, as a roster still to come may name another home.

Change: the refusal (400, creation-time) says "may have run".

--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/Departure.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/Departure.kt
@@ -20,10 +20,10 @@
  * A planned stop: one heir takes all claims over and claims new jobs at once, while running jobs end here. The heir sends
  * those who resubmit a running job to this entry until it has ended.
  *
- * An heir takes over with the last part of a handover only; an empty part comes first, so that an heir that does not answer
- * is not asked to take over. Until then, or when it refuses because it is leaving too, this
- * entry claims on and may ask another. Of two that leave, only the greater asks the other again, so that they do not
- * refuse each other for ever.
+ * A handover has several parts. The first is empty, and finds out whether the heir answers. Only the last one makes the
+ * heir take over. Before the last part is sent, and after a refusal, this entry claims again and may ask another member.
+ * A member that is leaving too refuses. Of two entries that leave, only the one with the greater identity asks the other
+ * again, so that they do not refuse each other for ever.
  */
 internal class Departure(
     private val self: EntryMember,
--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/JobLocations.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/JobLocations.kt
@@ -38,8 +38,12 @@
     private fun tooOld() =
         Verdict.MayHaveRun(Reason.RETENTION, "The job was created longer ago than jobs are remembered.")
 
+    /** No home can record this refusal, as rosters still to come may name another; so it cannot be "not run" for ever. */
     private fun fromTheFuture() =
-        Verdict.NotRun(Reason.CREATION_TIME, "The job's creation time is ahead of this entry's clock.")
+        Verdict.MayHaveRun(
+            Reason.CREATION_TIME,
+            "The job's creation time is ahead of this entry's clock; the same request can run later.",
+        )
 
     private fun unknown() = Verdict.MayHaveRun(Reason.NO_AUTHORITY, "The entry knows no roster yet.")
 }
--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/LinkServer.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/LinkServer.kt
@@ -83,13 +83,7 @@
     ) {
         when (message) {
             is ForwardJob -> counted { answerJob(link, message) }
-            is ForwardCancel ->
-                link.send(
-                    ForwardReply(
-                        message.request,
-                        router.cancelHere(message.job, message.createdAtMillis) ?: unknownJob(),
-                    ),
-                )
+            is ForwardCancel -> answerCancel(link, message)
             is ForwardQuery -> link.send(ForwardStateReply(message.request, router.stateHere(message.job)))
             is OutcomesRequest -> link.send(OutcomesReply(message.request, router.outcomesHere(message.team)))
             is ClaimHandover -> link.send(HandoverReply(message.request, entry, inherit(message)))
@@ -112,6 +106,14 @@
         message: ForwardJob,
     ) = link.send(ForwardReply(message.request, router.submitForwarded(message.job, message.remainingMillis)))
 
+    private suspend fun answerCancel(
+        link: Link,
+        message: ForwardCancel,
+    ) {
+        val outcome = router.cancelHere(message.job, message.createdAtMillis) ?: unknownJob()
+        link.send(ForwardReply(message.request, outcome))
+    }
+
     private suspend fun inherit(handover: ClaimHandover): Boolean {
         val reply = CompletableDeferred<Boolean>()
         home.send(HomeInput.Inherit(handover, reply))
--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/Problem.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/Problem.kt
@@ -44,6 +44,7 @@
 
         private fun startedStatus(reason: Reason): Int =
             when (reason) {
+                Reason.CREATION_TIME -> HttpStatus.BAD_REQUEST
                 Reason.DEADLINE -> HttpStatus.GATEWAY_TIMEOUT
                 Reason.CANCELLED -> HttpStatus.GONE
                 else -> HttpStatus.BAD_GATEWAY
@@ -51,7 +52,7 @@
 
         private fun notRunStatus(reason: Reason): Int =
             when (reason) {
-                Reason.MALFORMED, Reason.CREATION_TIME -> HttpStatus.BAD_REQUEST
+                Reason.MALFORMED -> HttpStatus.BAD_REQUEST
                 Reason.UNKNOWN_TEAM, Reason.UNKNOWN_SERVICE -> HttpStatus.NOT_FOUND
                 Reason.TOO_LARGE -> HttpStatus.CONTENT_TOO_LARGE
                 Reason.IMPOSSIBLE -> HttpStatus.UNPROCESSABLE
--- /dev/null
+++ b/egretlock-testing/src/test/kotlin/io/egretlock/testing/store/BudgetedStoreTest.kt
@@ -0,0 +1,105 @@
+package io.egretlock.testing.store
+
+import io.egretlock.platform.BudgetedStore
+import io.egretlock.platform.KeyValueStore
+import io.egretlock.platform.StoreBudgetException
+import io.egretlock.platform.StoreCallBudget
+import io.egretlock.platform.StoreCallLimits
+import io.egretlock.platform.StoreEntry
+import io.egretlock.platform.StoreException
+import io.egretlock.platform.StoreSnapshot
+import io.egretlock.platform.SwapResult
+import io.prometheus.metrics.model.registry.PrometheusRegistry
+import io.prometheus.metrics.model.snapshots.CounterSnapshot
+import kotlinx.coroutines.flow.Flow
+import kotlinx.coroutines.flow.flow
+import kotlinx.coroutines.flow.toList
+import kotlinx.coroutines.runBlocking
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertThrows
+import org.junit.jupiter.api.Test
+
+class BudgetedStoreTest {
+    private var nowMillis = 0L
+    private val registry = PrometheusRegistry()
+    private val budget = StoreCallBudget(StoreCallLimits(callsPerSecond = 2.0, burst = 3), registry) { nowMillis }
+    private val counted = CountedStore()
+    private val store = BudgetedStore(counted, budget)
+
+    @Test
+    fun `given a spent budget, when more calls come, then none is made until time has passed, of each kind apart`() {
+        for (call in listOf(::read, ::write, ::watch)) {
+            repeat(3) { call() }
+            repeat(2) { assertThrows(StoreBudgetException::class.java) { call() } }
+        }
+        assertEquals(listOf(3, 3, 3), counted.calls())
+        nowMillis += 500
+        read()
+        assertThrows(StoreBudgetException::class.java) { read() }
+        assertEquals(listOf(4, 3, 3), counted.calls())
+    }
+
+    @Test
+    fun `given calls made, failed and withheld, when the metrics are read, then each kind is counted`() {
+        repeat(2) { read() }
+        repeat(4) { runCatching { write() } }
+        watch()
+        counted.failing = true
+        assertThrows(StoreException::class.java) { read() }
+        assertEquals(mapOf("read" to 3.0, "write" to 3.0, "watch" to 1.0), metric("egretlock_store_calls"))
+        assertEquals(mapOf("read" to 1.0, "write" to 0.0, "watch" to 0.0), metric("egretlock_store_calls_failed"))
+        assertEquals(mapOf("read" to 0.0, "write" to 1.0, "watch" to 0.0), metric("egretlock_store_calls_withheld"))
+    }
+
+    private fun read() {
+        runBlocking { store.read("/") }
+    }
+
+    private fun write() {
+        runBlocking { store.compareAndSwap("/", 0, "") }
+    }
+
+    private fun watch() {
+        runBlocking { store.watch("/", 0).toList() }
+    }
+
+    private fun metric(name: String): Map<String, Double> =
+        registry
+            .scrape { it == name }
+            .filterIsInstance<CounterSnapshot>()
+            .single()
+            .dataPoints
+            .associate { it.labels.get("kind").orEmpty() to it.value }
+
+    private class CountedStore : KeyValueStore {
+        var failing = false
+        private var reads = 0
+        private var writes = 0
+        private var watches = 0
+
+        fun calls(): List<Int> = listOf(reads, writes, watches)
+
+        override suspend fun read(
+            prefix: String,
+            changedAfter: Long,
+        ): StoreSnapshot {
+            reads++
+            if (failing) throw StoreException("The store refuses.")
+            return StoreSnapshot(emptyList(), revision = 1)
+        }
+
+        override suspend fun compareAndSwap(
+            key: String,
+            expectedRevision: Long,
+            value: String,
+        ): SwapResult {
+            writes++
+            return SwapResult.Stored(revision = 1)
+        }
+
+        override fun watch(
+            prefix: String,
+            revision: Long,
+        ): Flow<StoreEntry> = flow { watches++ }
+    }
+}
--- a/egretlock-testing/src/test/kotlin/io/egretlock/testing/store/SettingsWatcherTest.kt
+++ b/egretlock-testing/src/test/kotlin/io/egretlock/testing/store/SettingsWatcherTest.kt
@@ -131,6 +131,17 @@
         assertEquals(setOf(KEY), told.unreadable.toSet())
     }
 
+    @Test
+    fun `given a key deleted and created again, when watched, then the new one arrives at its own higher revision`() {
+        start()
+        val deleted = put(weight = 1.0)
+        assertEquals(deleted, next())
+        val deletion = standIn.history.put(KEY, null)
+        val created = put(weight = 2.0)
+        assertEquals(created, next())
+        assertTrue(created.revision > deletion)
+    }
+
     @Test
     fun `given many watchers, when the store is out and returns, then calls at most double the steady rate`() {
         val outcomes = List(WATCHERS) { SettingsWatcher(store, TIMING).updates() }
