Use slow agents for tasks that have waited for a second

Cause: an agent four times slower than the others gets probes only, unless the backlog exceeds 1 s; the backlog is worked out from learned run times. Where these are far too short, as after many tasks of 1 ms whose noise makes an agent look slow, a task waited beside a free slot until its deadline.

Change: a StallClock measures for how long tasks that may start have waited without any start; that counts like the expected backlog.

Before: FairDispatcherTest 1 of 15 red, the second task never started. After: FairDispatcherTest, AgentPoolTest, HomeTest green.

--- a/egretlock-core/src/main/kotlin/io/egretlock/core/placement/FairDispatcher.kt
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/placement/FairDispatcher.kt
@@ -24,6 +24,7 @@
     private val queues = ClassQueues(parts, policies)
     private val forecaster = JobForecaster(parts, queues)
     private val drainRate = DrainRate()
+    private val stall = StallClock()
     private val jobs = WaitingJobs()
     private val running = HashMap<TaskId, RunningTask>()
     private val views = HashMap<ProcessId, AgentView>()
@@ -156,11 +157,13 @@
         return if (runTimes.hasLearned) admission.refusal(forecast, nowMillis) else null
     }
 
+    /** Run times that were learned can be far too short, so that a wait counts as well as the expected one. */
     private fun openAgents(nowMillis: Long) {
         guard.probesDue(nowMillis).forEach(pool::allowProbe)
         pool.probeSlowAgents(nowMillis)
         val limit = if (pool.slowAgentsAreUsed) SLOW_AGENTS_CLEARED_MILLIS else SLOW_AGENTS_WAIT_MILLIS
-        pool.slowAgentsAreUsed = backlogMillis() > limit
+        stall.observe(queues.startable > 0, nowMillis)
+        pool.slowAgentsAreUsed = maxOf(backlogMillis(), stall.stalledMillis(nowMillis).toDouble()) > limit
     }
 
     private fun observe(nowMillis: Long) {
@@ -196,6 +199,7 @@
         val index = queues.take(part, account, longRoom = pool.longRoom > 0)
         jobs.taskPlaced(job)
         pool.started(agent, part.taskClass)
+        stall.started()
         val task = TaskId(job.job.id, index)
         running[task] = RunningTask(job, account, part.taskClass, agent, specification, part.workMillis)
         return Placement(task, agent.id)
--- a/egretlock-core/src/test/kotlin/io/egretlock/core/placement/FairDispatcherTest.kt
+++ b/egretlock-core/src/test/kotlin/io/egretlock/core/placement/FairDispatcherTest.kt
@@ -35,6 +35,18 @@
         assertEquals(Admission.Refused(refusal), dispatcher.submitNow(job("j")))
     }
 
+    @Test
+    fun `given a slow agent, when a task has waited longer than run times let expect, then it starts there`() {
+        learnAt("normal", runMillis = 10)
+        learnAt("slow", runMillis = 1_000)
+        dispatcher.creditsRecalled(agentId("normal"), 4)
+        dispatcher.submitNow(job("j", tasks = 2))
+        val probes = dispatcher.placements(0).size
+        assertEquals(listOf(0, 0), listOf(0L, 1_000L).map { dispatcher.placements(it).size })
+        assertEquals(2 - probes, dispatcher.placements(1_001).size)
+        assertEquals(true, probes < 2)
+    }
+
     @Test
     fun `given a full queue, when a job is submitted, then it is refused for the quota`() {
         dispatcher.applySettings(settings(limits = ServiceSettings(SERVICE, longestQueue = 3)))
@@ -172,6 +184,18 @@
         dispatcher.taskEnded(placed.task, placed.agent, runMillis, succeeded, nowMillis)
     }
 
+    private fun learnAt(
+        agent: String,
+        runMillis: Long,
+    ) {
+        withAgent(agent, credits = 4)
+        dispatcher.submitNow(job("learn-$agent", tasks = 4))
+        dispatcher.placements(0).forEach { placed ->
+            dispatcher.taskEnded(placed.task, placed.agent, runMillis, succeeded = true, nowMillis = 0)
+        }
+        dispatcher.creditsGranted(agentId(agent), 4)
+    }
+
     private fun withAgent(
         name: String,
         credits: Int,
