--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/EntrySettings.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/EntrySettings.kt
@@ -17,7 +17,7 @@
  * @property storeAddresses addresses of the platform's key-value service.
  * @property operatorToken bearer token for the inspection routes; null where their address is local.
  * @property teamTokens with which operators edit a team's settings; a team without a token can't be edited here.
- * @property noticeMillis time that the balancer has to notice a graceful shutdown before connections are refused.
+ * @property noticeMillis time without any request after which a graceful shutdown closes the listeners.
  * @property drainMillis longest time that a graceful shutdown may take.
  */
 data class EntrySettings(
