Rename the store module egretlock-store

Cause: the adapter to the users' platform takes the folder platform/, so the module that holds the interface of the key-value service and its etcd client can't be called egretlock-platform any more; one thing has that name. Ruled out: keeping both names apart by case or suffix only.

--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/Main.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/Main.kt
@@ -1,7 +1,7 @@
 package io.egretlock.entry
 
-import io.egretlock.platform.etcd.EtcdStore
-import io.egretlock.platform.etcd.EtcdStoreSettings
+import io.egretlock.store.etcd.EtcdStore
+import io.egretlock.store.etcd.EtcdStoreSettings
 import io.egretlock.process.CommandLine
 import io.egretlock.process.LogSetup
 import io.egretlock.process.program
--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/SettingsKeeper.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/SettingsKeeper.kt
@@ -2,8 +2,8 @@
 
 import io.egretlock.core.settings.SettingsTable
 import io.egretlock.core.settings.StoredTeamSettings
-import io.egretlock.platform.StoreException
-import io.egretlock.platform.settings.SettingsWatcherListener
+import io.egretlock.store.StoreException
+import io.egretlock.store.settings.SettingsWatcherListener
 import io.egretlock.process.event
 import io.github.oshai.kotlinlogging.KotlinLogging
 import kotlinx.coroutines.CompletableDeferred
--- a/egretlock-entry/src/test/kotlin/io/egretlock/entry/EntryProcessTest.kt
+++ b/egretlock-entry/src/test/kotlin/io/egretlock/entry/EntryProcessTest.kt
@@ -2,10 +2,10 @@
 
 import io.egretlock.core.job.FailureDomain
 import io.egretlock.core.roster.NodeAddress
-import io.egretlock.platform.KeyValueStore
-import io.egretlock.platform.StoreEntry
-import io.egretlock.platform.StoreSnapshot
-import io.egretlock.platform.SwapResult
+import io.egretlock.store.KeyValueStore
+import io.egretlock.store.StoreEntry
+import io.egretlock.store.StoreSnapshot
+import io.egretlock.store.SwapResult
 import io.egretlock.process.LogFormat
 import io.egretlock.protocol.LinkTiming
 import kotlinx.coroutines.CompletableDeferred
--- a/egretlock-entry/src/test/kotlin/io/egretlock/entry/LeavingEntry.kt
+++ b/egretlock-entry/src/test/kotlin/io/egretlock/entry/LeavingEntry.kt
@@ -9,11 +9,11 @@
 import io.egretlock.core.roster.RosterInput
 import io.egretlock.core.roster.RosterKeeper
 import io.egretlock.core.roster.RosterTiming
-import io.egretlock.platform.KeyValueStore
-import io.egretlock.platform.StoreEntry
-import io.egretlock.platform.StoreException
-import io.egretlock.platform.StoreSnapshot
-import io.egretlock.platform.SwapResult
+import io.egretlock.store.KeyValueStore
+import io.egretlock.store.StoreEntry
+import io.egretlock.store.StoreException
+import io.egretlock.store.StoreSnapshot
+import io.egretlock.store.SwapResult
 import io.egretlock.protocol.ClaimHandover
 import io.egretlock.protocol.HandoverReply
 import io.egretlock.protocol.Message
--- a/egretlock-platform/src/main/kotlin/io/egretlock/platform/KeyValueStore.kt
+++ b/egretlock-store/src/main/kotlin/io/egretlock/store/KeyValueStore.kt
@@ -1,4 +1,4 @@
-package io.egretlock.platform
+package io.egretlock.store
 
 import kotlinx.coroutines.flow.Flow
 
--- a/egretlock-platform/src/main/kotlin/io/egretlock/platform/StoreCallBudget.kt
+++ b/egretlock-store/src/main/kotlin/io/egretlock/store/StoreCallBudget.kt
@@ -1,4 +1,4 @@
-package io.egretlock.platform
+package io.egretlock.store
 
 import io.prometheus.metrics.core.metrics.Counter
 import io.prometheus.metrics.model.registry.PrometheusRegistry
--- a/egretlock-platform/src/main/kotlin/io/egretlock/platform/etcd/EtcdMessages.kt
+++ b/egretlock-store/src/main/kotlin/io/egretlock/store/etcd/EtcdMessages.kt
@@ -1,4 +1,4 @@
-package io.egretlock.platform.etcd
+package io.egretlock.store.etcd
 
 import kotlinx.serialization.EncodeDefault
 import kotlinx.serialization.ExperimentalSerializationApi
--- a/egretlock-platform/src/main/kotlin/io/egretlock/platform/etcd/EtcdStore.kt
+++ b/egretlock-store/src/main/kotlin/io/egretlock/store/etcd/EtcdStore.kt
@@ -1,11 +1,11 @@
-package io.egretlock.platform.etcd
-
-import io.egretlock.platform.KeyValueStore
-import io.egretlock.platform.StoreEntry
-import io.egretlock.platform.StoreException
-import io.egretlock.platform.StoreOutcomeUnknownException
-import io.egretlock.platform.StoreSnapshot
-import io.egretlock.platform.SwapResult
+package io.egretlock.store.etcd
+
+import io.egretlock.store.KeyValueStore
+import io.egretlock.store.StoreEntry
+import io.egretlock.store.StoreException
+import io.egretlock.store.StoreOutcomeUnknownException
+import io.egretlock.store.StoreSnapshot
+import io.egretlock.store.SwapResult
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.channels.SendChannel
 import kotlinx.coroutines.channels.awaitClose
--- a/egretlock-platform/src/main/kotlin/io/egretlock/platform/etcd/EtcdStoreSettings.kt
+++ b/egretlock-store/src/main/kotlin/io/egretlock/store/etcd/EtcdStoreSettings.kt
@@ -1,4 +1,4 @@
-package io.egretlock.platform.etcd
+package io.egretlock.store.etcd
 
 import io.egretlock.core.roster.NodeAddress
 
--- a/egretlock-platform/src/main/kotlin/io/egretlock/platform/settings/SettingsEditOutcome.kt
+++ b/egretlock-store/src/main/kotlin/io/egretlock/store/settings/SettingsEditOutcome.kt
@@ -1,4 +1,4 @@
-package io.egretlock.platform.settings
+package io.egretlock.store.settings
 
 import io.egretlock.core.settings.StoredTeamSettings
 
--- a/egretlock-platform/src/main/kotlin/io/egretlock/platform/settings/SettingsEditor.kt
+++ b/egretlock-store/src/main/kotlin/io/egretlock/store/settings/SettingsEditor.kt
@@ -1,13 +1,13 @@
-package io.egretlock.platform.settings
+package io.egretlock.store.settings
 
 import io.egretlock.core.retry.Backoff
 import io.egretlock.core.settings.StoredTeamSettings
 import io.egretlock.core.settings.TeamSettings
-import io.egretlock.platform.KeyValueStore
-import io.egretlock.platform.StoreEntry
-import io.egretlock.platform.StoreException
-import io.egretlock.platform.StoreOutcomeUnknownException
-import io.egretlock.platform.SwapResult
+import io.egretlock.store.KeyValueStore
+import io.egretlock.store.StoreEntry
+import io.egretlock.store.StoreException
+import io.egretlock.store.StoreOutcomeUnknownException
+import io.egretlock.store.SwapResult
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.serialization.SerializationException
--- a/egretlock-platform/src/main/kotlin/io/egretlock/platform/settings/SettingsRecord.kt
+++ b/egretlock-store/src/main/kotlin/io/egretlock/store/settings/SettingsRecord.kt
@@ -1,10 +1,10 @@
-package io.egretlock.platform.settings
+package io.egretlock.store.settings
 
 import io.egretlock.core.job.TeamName
 import io.egretlock.core.settings.SettingsCheck
 import io.egretlock.core.settings.StoredTeamSettings
 import io.egretlock.core.settings.TeamSettings
-import io.egretlock.platform.StoreEntry
+import io.egretlock.store.StoreEntry
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
--- a/egretlock-platform/src/main/kotlin/io/egretlock/platform/settings/SettingsWatcher.kt
+++ b/egretlock-store/src/main/kotlin/io/egretlock/store/settings/SettingsWatcher.kt
@@ -1,12 +1,12 @@
-package io.egretlock.platform.settings
+package io.egretlock.store.settings
 
 import io.egretlock.core.job.TeamName
 import io.egretlock.core.retry.Backoff
 import io.egretlock.core.settings.StoredTeamSettings
-import io.egretlock.platform.KeyValueStore
-import io.egretlock.platform.StoreEntry
-import io.egretlock.platform.StoreException
-import io.egretlock.platform.StoreSnapshot
+import io.egretlock.store.KeyValueStore
+import io.egretlock.store.StoreEntry
+import io.egretlock.store.StoreException
+import io.egretlock.store.StoreSnapshot
 import kotlinx.coroutines.channels.ProducerScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.flow.Flow
--- a/egretlock-testing/src/main/kotlin/io/egretlock/testing/store/StoreHistory.kt
+++ b/egretlock-testing/src/main/kotlin/io/egretlock/testing/store/StoreHistory.kt
@@ -1,6 +1,6 @@
 package io.egretlock.testing.store
 
-import io.egretlock.platform.StoreEntry
+import io.egretlock.store.StoreEntry
 
 /** Every change ever made to the stand-in of the store, so that any earlier state can be read. Thread-safe. */
 class StoreHistory {
--- a/egretlock-testing/src/test/kotlin/io/egretlock/testing/store/BudgetedStoreTest.kt
+++ b/egretlock-testing/src/test/kotlin/io/egretlock/testing/store/BudgetedStoreTest.kt
@@ -1,14 +1,14 @@
 package io.egretlock.testing.store
 
-import io.egretlock.platform.BudgetedStore
-import io.egretlock.platform.KeyValueStore
-import io.egretlock.platform.StoreBudgetException
-import io.egretlock.platform.StoreCallBudget
-import io.egretlock.platform.StoreCallLimits
-import io.egretlock.platform.StoreEntry
-import io.egretlock.platform.StoreException
-import io.egretlock.platform.StoreSnapshot
-import io.egretlock.platform.SwapResult
+import io.egretlock.store.BudgetedStore
+import io.egretlock.store.KeyValueStore
+import io.egretlock.store.StoreBudgetException
+import io.egretlock.store.StoreCallBudget
+import io.egretlock.store.StoreCallLimits
+import io.egretlock.store.StoreEntry
+import io.egretlock.store.StoreException
+import io.egretlock.store.StoreSnapshot
+import io.egretlock.store.SwapResult
 import io.prometheus.metrics.model.registry.PrometheusRegistry
 import io.prometheus.metrics.model.snapshots.CounterSnapshot
 import kotlinx.coroutines.flow.Flow
--- a/egretlock-testing/src/test/kotlin/io/egretlock/testing/store/EtcdStoreTest.kt
+++ b/egretlock-testing/src/test/kotlin/io/egretlock/testing/store/EtcdStoreTest.kt
@@ -1,13 +1,13 @@
 package io.egretlock.testing.store
 
 import io.egretlock.core.roster.NodeAddress
-import io.egretlock.platform.StoreEntry
-import io.egretlock.platform.StoreException
-import io.egretlock.platform.StoreOutcomeUnknownException
-import io.egretlock.platform.StoreSnapshot
-import io.egretlock.platform.SwapResult
-import io.egretlock.platform.etcd.EtcdStore
-import io.egretlock.platform.etcd.EtcdStoreSettings
+import io.egretlock.store.StoreEntry
+import io.egretlock.store.StoreException
+import io.egretlock.store.StoreOutcomeUnknownException
+import io.egretlock.store.StoreSnapshot
+import io.egretlock.store.SwapResult
+import io.egretlock.store.etcd.EtcdStore
+import io.egretlock.store.etcd.EtcdStoreSettings
 import kotlinx.coroutines.flow.first
 import kotlinx.coroutines.flow.take
 import kotlinx.coroutines.flow.toList
--- a/egretlock-testing/src/test/kotlin/io/egretlock/testing/store/SettingsEditorRaceTest.kt
+++ b/egretlock-testing/src/test/kotlin/io/egretlock/testing/store/SettingsEditorRaceTest.kt
@@ -2,15 +2,15 @@
 
 import io.egretlock.core.retry.Backoff
 import io.egretlock.core.settings.teamSettings
-import io.egretlock.platform.KeyValueStore
-import io.egretlock.platform.StoreEntry
-import io.egretlock.platform.StoreException
-import io.egretlock.platform.StoreOutcomeUnknownException
-import io.egretlock.platform.StoreSnapshot
-import io.egretlock.platform.SwapResult
-import io.egretlock.platform.settings.SettingsEditOutcome
-import io.egretlock.platform.settings.SettingsEditor
-import io.egretlock.platform.settings.SettingsRecord
+import io.egretlock.store.KeyValueStore
+import io.egretlock.store.StoreEntry
+import io.egretlock.store.StoreException
+import io.egretlock.store.StoreOutcomeUnknownException
+import io.egretlock.store.StoreSnapshot
+import io.egretlock.store.SwapResult
+import io.egretlock.store.settings.SettingsEditOutcome
+import io.egretlock.store.settings.SettingsEditor
+import io.egretlock.store.settings.SettingsRecord
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.flow.Flow
 import kotlinx.coroutines.flow.emptyFlow
