Serve jobs of steps on the users' platform through an adapter

Cause: the users' platform speaks its own protocol, and its jobs carry no creation time, need room instead of slots and are answered when they end; the product had none of this. Ruled out: keeping claims by creation time (the ids have none); a leader among the entries (its loss costs seconds); Jetty and OkHttp in these processes (memory is priced). Change: in the product, jobs of steps with room (core/run), an entry that places them and an agent that keeps a ledger of runs with leases and fencing tokens, entries listed in the store under leases, configuration by version; in platform/, settings file, HTTP, callers, upstream calls, heartbeats, store. Before: nothing ran there.

--- a/egretlock-agent/src/main/kotlin/io/egretlock/agent/Main.kt
+++ b/egretlock-agent/src/main/kotlin/io/egretlock/agent/Main.kt
@@ -1,6 +1,10 @@
 package io.egretlock.agent
 
+import io.egretlock.agent.run.RunAgentProcess
+import io.egretlock.platform.BootSettings
+import io.egretlock.platform.BootSettingsException
 import io.egretlock.process.CommandLine
+import io.egretlock.process.EXIT_USAGE
 import io.egretlock.process.LogSetup
 import io.egretlock.process.program
 import io.egretlock.process.serve
@@ -11,6 +15,7 @@
 Runs beside one upstream and starts its tasks.
 
   run      Runs the agent until SIGTERM, then stops gracefully.
+  serve    Runs the agent on the users' platform, with the settings file that the platform provides.
   check    Checks the settings and prints every fault.
   dump     Prints the state of a running agent as JSON.
 
@@ -22,6 +27,7 @@
 private val program =
     program("egretlock-agent", USAGE) {
         command("run", ::run)
+        command("serve") { serve() }
         command("check", ::check)
         command("dump", ::dump)
     }
@@ -35,6 +41,17 @@
     commandLine.serve(AgentProcess(settings))
 }
 
+private fun serve() {
+    LogSetup.applyStructured()
+    val settings =
+        try {
+            BootSettings.read(BootSettings.path())
+        } catch (wrong: BootSettingsException) {
+            commandLine.fail(EXIT_USAGE, listOf(wrong.message.orEmpty()))
+        }
+    commandLine.serve(RunAgentProcess(settings))
+}
+
 private fun check(flags: List<String>) {
     commandLine.readSettings("check", flags, AgentSettings.ALL, AgentSettings::read)
     println("The settings are valid.")
--- /dev/null
+++ b/egretlock-agent/src/main/kotlin/io/egretlock/agent/run/RunAgent.kt
@@ -0,0 +1,265 @@
+package io.egretlock.agent.run
+
+import io.egretlock.core.job.ProcessId
+import io.egretlock.core.run.FencingToken
+import io.egretlock.core.run.LedgerEffect
+import io.egretlock.core.run.RenewalResult
+import io.egretlock.core.run.RunLedger
+import io.egretlock.core.run.StartAnswer
+import io.egretlock.core.run.StopAnswer
+import io.egretlock.core.run.UpstreamOrders
+import io.egretlock.core.run.UpstreamReport
+import io.egretlock.core.run.UpstreamStatus
+import io.egretlock.process.event
+import io.egretlock.protocol.Link
+import io.egretlock.protocol.Message
+import io.egretlock.protocol.RunEnded
+import io.egretlock.protocol.StartRuns
+import io.egretlock.protocol.StopRun
+import io.egretlock.protocol.UpstreamReported
+import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+
+private val logger = KotlinLogging.logger {}
+
+/**
+ * Starts runs on the upstream beside it for any number of entries.
+ *
+ * One coroutine owns the [RunLedger] and gets everything that happens as a [RunAgentInput]. Calls to the upstream are
+ * coroutines of their own and report back the same way.
+ */
+internal class RunAgent(
+    private val orders: UpstreamOrders,
+    private val scope: CoroutineScope,
+    private val fence: FencingToken,
+    private val nowMillis: () -> Long,
+) {
+    private val inbox = Channel<RunAgentInput>(Channel.UNLIMITED)
+    private val ledger = RunLedger()
+    private val entries = LinkedHashMap<Link, EntryState>()
+    private var lastReport: UpstreamReport? = null
+
+    /** Number of runs that have not ended. */
+    val runCount: Int
+        get() = ledger.size
+
+    /** Passes on what happened. */
+    fun tell(input: RunAgentInput) {
+        inbox.trySend(input)
+    }
+
+    /** Runs until cancelled. */
+    suspend fun run() {
+        scope.launch { tickForever() }
+        renewAfter(0)
+        for (input in inbox) {
+            handle(input)
+            var next = inbox.tryReceive().getOrNull()
+            while (next != null) {
+                handle(next)
+                next = inbox.tryReceive().getOrNull()
+            }
+            report()
+        }
+    }
+
+    private suspend fun tickForever() {
+        while (true) {
+            delay(TICK_MILLIS)
+            tell(RunAgentInput.Tick)
+        }
+    }
+
+    private fun handle(input: RunAgentInput) {
+        val now = nowMillis()
+        when (input) {
+            is RunAgentInput.EntryConnected -> connected(input)
+            is RunAgentInput.EntryMessage -> received(input.link, input.message, now)
+            is RunAgentInput.EntryLost -> lost(input.link, now)
+            is RunAgentInput.Announced -> announced(input.status, now)
+            is RunAgentInput.Departed -> departed(input.name, now)
+            is RunAgentInput.StartAnswered -> startAnswered(input, now)
+            is RunAgentInput.StopAnswered -> stopAnswered(input)
+            is RunAgentInput.Renewed -> renewed(input, now)
+            RunAgentInput.Tick -> perform(ledger.tick(now))
+            RunAgentInput.Drain -> ledger.drain()
+        }
+    }
+
+    private fun connected(input: RunAgentInput.EntryConnected) {
+        entries[input.link] = EntryState(input.entry)
+        logger.event(RunAgentEvent.ENTRY_CONNECTED, "entry" to input.entry)
+    }
+
+    private fun received(
+        link: Link,
+        message: Message,
+        now: Long,
+    ) {
+        val state = entries[link] ?: return
+        when (message) {
+            is StartRuns -> {
+                state.seenSequence = message.order.sequence
+                perform(ledger.ordered(state.entry, message.order, now))
+            }
+            is StopRun -> perform(ledger.stopRequested(message.run, now))
+            else -> logger.debug { "Message that is not for agents: $message" }
+        }
+    }
+
+    private fun lost(
+        link: Link,
+        now: Long,
+    ) {
+        val state = entries.remove(link) ?: return
+        logger.event(RunAgentEvent.ENTRY_LOST, "entry" to state.entry)
+        if (entries.values.none { it.entry == state.entry }) perform(ledger.homeLost(state.entry, now))
+    }
+
+    private fun announced(
+        status: UpstreamStatus,
+        now: Long,
+    ) {
+        perform(ledger.announced(status, now))
+    }
+
+    private fun departed(
+        name: String,
+        now: Long,
+    ) {
+        logger.event(RunAgentEvent.UPSTREAM_CHANGED, "upstream" to name, "state" to "left")
+        perform(ledger.departed(name, now))
+    }
+
+    private fun startAnswered(
+        input: RunAgentInput.StartAnswered,
+        now: Long,
+    ) {
+        if (input.answer == StartAnswer.FENCED) fenced(input.fencingToken)
+        perform(ledger.startAnswered(input.run, input.answer, now))
+    }
+
+    private fun stopAnswered(input: RunAgentInput.StopAnswered) {
+        if (input.answer == StopAnswer.FENCED) fenced(input.fencingToken)
+        ledger.stopAnswered(input.run, input.answer == StopAnswer.ACKNOWLEDGED)
+    }
+
+    private fun renewed(
+        input: RunAgentInput.Renewed,
+        now: Long,
+    ) {
+        var pauseMillis = 0L
+        when (val result = input.result) {
+            is RenewalResult.Answered -> perform(ledger.renewed(input.number, result.answer, now))
+            RenewalResult.Fenced -> fenced(input.fencingToken)
+            RenewalResult.Unanswered -> {
+                perform(ledger.renewalFailed(isGone = false, now))
+                pauseMillis = RETRY_MILLIS
+            }
+            RenewalResult.Gone -> {
+                perform(ledger.renewalFailed(isGone = true, now))
+                pauseMillis = GONE_RETRY_MILLIS
+            }
+        }
+        renewAfter(pauseMillis)
+    }
+
+    private fun renewAfter(pauseMillis: Long) {
+        scope.launch {
+            if (pauseMillis > 0) delay(pauseMillis)
+            val token = fence.value
+            val number = ledger.renewing()
+            val result = orders.renew(ledger.leaseDeadlineClockMillis, ledger.lastEnd, RENEWAL_WAIT_MILLIS, token)
+            tell(RunAgentInput.Renewed(number, result, token))
+        }
+    }
+
+    private fun fenced(token: Long) {
+        fence.refused(token)
+        logger.event(RunAgentEvent.FENCED, "refused" to token, "next" to fence.value)
+    }
+
+    private fun perform(effects: List<LedgerEffect>) {
+        for (effect in effects) {
+            when (effect) {
+                is LedgerEffect.Start -> start(effect)
+                is LedgerEffect.Stop -> stop(effect)
+                is LedgerEffect.Tell -> tellHome(effect)
+                LedgerEffect.Disconnect -> disconnect()
+            }
+        }
+    }
+
+    private fun start(effect: LedgerEffect.Start) {
+        val token = fence.value
+        scope.launch {
+            val answer = orders.start(effect.run, effect.specification, effect.deadlineClockMillis, token)
+            tell(RunAgentInput.StartAnswered(effect.run, answer, token))
+        }
+    }
+
+    private fun stop(effect: LedgerEffect.Stop) {
+        val token = fence.value
+        scope.launch {
+            val answer = orders.stop(effect.run, token)
+            tell(RunAgentInput.StopAnswered(effect.run, answer, token))
+        }
+    }
+
+    private fun tellHome(effect: LedgerEffect.Tell) {
+        logger.event(
+            RunAgentEvent.RUN_ENDED,
+            "run" to effect.run,
+            "home" to effect.home,
+            "end" to effect.end,
+            "ms" to effect.runMillis.toLong(),
+        )
+        val link = entries.entries.lastOrNull { it.value.entry == effect.home }?.key
+        link?.send(RunEnded(effect.run, effect.end, effect.runMillis))
+    }
+
+    private fun disconnect() {
+        logger.event(RunAgentEvent.STOOD_STILL, "entries" to entries.size)
+        val now = nowMillis()
+        entries.keys.toList().forEach { link ->
+            link.close()
+            lost(link, now)
+        }
+    }
+
+    private fun report() {
+        val report = ledger.report()
+        if (report?.copy(free = lastReport?.free ?: report.free, speed = 0.0) != lastReport?.copy(speed = 0.0)) {
+            logger.event(RunAgentEvent.UPSTREAM_CHANGED, "report" to report)
+        }
+        lastReport = report
+        for ((link, state) in entries) {
+            val message = UpstreamReported(report, state.seenSequence)
+            if (message != state.lastSent) link.send(message)
+            state.lastSent = message
+        }
+    }
+
+    private class EntryState(
+        val entry: ProcessId,
+    ) {
+        var seenSequence = 0L
+        var lastSent: UpstreamReported? = null
+    }
+
+    private companion object {
+        const val TICK_MILLIS = 50L
+
+        /** Time that a renewal waits for an end; short enough that a lost answer does not let a lease run out. */
+        const val RENEWAL_WAIT_MILLIS = 200L
+
+        /** Pause after a renewal without an answer. */
+        const val RETRY_MILLIS = 10L
+
+        /** Pause before the next look for an upstream that is gone. */
+        const val GONE_RETRY_MILLIS = 100L
+    }
+}
--- /dev/null
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/run/Backlog.kt
@@ -0,0 +1,54 @@
+package io.egretlock.core.run
+
+import io.egretlock.core.job.ServiceName
+
+/**
+ * Forecasts how long a job waits behind the work that goes before it.
+ *
+ * Work is processor time: thousandths of a core times milliseconds at speed 1. Several entries share the upstreams; this
+ * entry's share is the part of the room in use that its own runs hold.
+ */
+internal class Backlog(
+    private val rooms: AgentRooms,
+    private val placer: StepJobPlacer,
+) {
+    /** Expected wait of [arrival] in milliseconds; 0 while there is room. */
+    fun waitMillis(
+        jobs: Collection<HeldJob>,
+        arrival: HeldJob,
+        nowMillis: Long,
+    ): Double {
+        val service = arrival.queue.service
+        val latestStart = placer.latestStart(arrival)
+        val ahead =
+            jobs
+                .filter { it.queue.service == service && it.isWaiting }
+                .filter { it.hasStarted || placer.latestStart(it) in nowMillis.toDouble()..latestStart }
+                .sumOf { job -> job.tasks.filter { it.isWaiting }.sumOf { work(job, it) } }
+        if (ahead == 0.0) return 0.0
+        val rate = rooms.all.filter { it.report.service == service }.sumOf { rateOf(it) } * share(jobs, service)
+        return if (rate > 0) ahead / rate else Double.MAX_VALUE
+    }
+
+    private fun work(
+        job: HeldJob,
+        task: HeldTask,
+    ): Double = placer.expectedMillis(job, task.step) * task.step.room.cpuMillicores
+
+    private fun rateOf(room: AgentRoom): Double =
+        if (room.report.accepting) room.report.total.cpuMillicores * room.report.speed else 0.0
+
+    private fun share(
+        jobs: Collection<HeldJob>,
+        service: ServiceName,
+    ): Double {
+        val used = rooms.all.filter { it.report.service == service }.sumOf { (it.report.total - it.free).cpuMillicores }
+        val own = jobs.sumOf { job -> job.tasks.filter { it.agent != null }.sumOf { it.step.room.cpuMillicores } }
+        return if (used > 0) (own.toDouble() / used).coerceIn(SMALLEST_SHARE, 1.0) else 1.0
+    }
+
+    private companion object {
+        /** Share of an entry whose runs have just ended; without it the forecast would never recover. */
+        const val SMALLEST_SHARE = 0.1
+    }
+}
--- /dev/null
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/run/StepJobEffect.kt
@@ -0,0 +1,25 @@
+package io.egretlock.core.run
+
+import io.egretlock.core.job.JobId
+import io.egretlock.core.job.ProcessId
+
+/** What a [StepJobHome] asks its process to do. */
+sealed interface StepJobEffect {
+    /** Send [order] to [agent]. */
+    data class Start(
+        val agent: ProcessId,
+        val order: RunOrder,
+    ) : StepJobEffect
+
+    /** Ask [agent] to stop [run]. */
+    data class Stop(
+        val agent: ProcessId,
+        val run: RunId,
+    ) : StepJobEffect
+
+    /** Answer all callers that wait for [job]. */
+    data class Answer(
+        val job: JobId,
+        val outcome: StepJobOutcome,
+    ) : StepJobEffect
+}
--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/EntryProcess.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/EntryProcess.kt
@@ -12,12 +12,6 @@
 import io.egretlock.core.roster.RosterKeeper
 import io.egretlock.core.roster.RosterTiming
 import io.egretlock.core.settings.StoredTeamSettings
-import io.egretlock.store.BudgetedStore
-import io.egretlock.store.KeyValueStore
-import io.egretlock.store.StoreCallBudget
-import io.egretlock.store.StoreCallLimits
-import io.egretlock.store.settings.SettingsEditor
-import io.egretlock.store.settings.SettingsWatcher
 import io.egretlock.process.Inspectable
 import io.egretlock.process.OperatorsRoutes
 import io.egretlock.process.ServedProcess
@@ -27,6 +21,12 @@
 import io.egretlock.protocol.LinkListener
 import io.egretlock.protocol.Message
 import io.egretlock.protocol.SettingsUpdate
+import io.egretlock.store.BudgetedStore
+import io.egretlock.store.KeyValueStore
+import io.egretlock.store.StoreCallBudget
+import io.egretlock.store.StoreCallLimits
+import io.egretlock.store.settings.SettingsEditor
+import io.egretlock.store.settings.SettingsWatcher
 import io.github.oshai.kotlinlogging.KotlinLogging
 import io.javalin.Javalin
 import io.javalin.config.JavalinConfig
--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/Main.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/Main.kt
@@ -1,11 +1,15 @@
 package io.egretlock.entry
 
-import io.egretlock.store.etcd.EtcdStore
-import io.egretlock.store.etcd.EtcdStoreSettings
+import io.egretlock.entry.run.RunEntryProcess
+import io.egretlock.platform.BootSettings
+import io.egretlock.platform.BootSettingsException
 import io.egretlock.process.CommandLine
+import io.egretlock.process.EXIT_USAGE
 import io.egretlock.process.LogSetup
 import io.egretlock.process.program
 import io.egretlock.process.serve
+import io.egretlock.store.etcd.EtcdStore
+import io.egretlock.store.etcd.EtcdStoreSettings
 
 private const val USAGE =
     """Usage: egretlock-entry COMMAND [FLAGS]
@@ -13,6 +17,7 @@
 Takes callers' jobs and dispatches their tasks to agents.
 
   run      Runs the entry until SIGTERM, then stops gracefully.
+  serve    Runs the entry on the users' platform, with the settings file that the platform provides.
   check    Checks the settings and prints every fault.
   dump     Prints the state of a running entry as JSON.
 
@@ -27,6 +32,7 @@
 private val program =
     program("egretlock-entry", USAGE) {
         command("run", ::run)
+        command("serve") { serve() }
         command("check", ::check)
         command("dump", ::dump)
         command("settings") { flags -> SettingsCommand(commandLine).run(flags) }
@@ -41,6 +47,17 @@
     commandLine.serve(EntryProcess(settings, EtcdStore(EtcdStoreSettings(settings.storeAddresses))))
 }
 
+private fun serve() {
+    LogSetup.applyStructured()
+    val settings =
+        try {
+            BootSettings.read(BootSettings.path())
+        } catch (wrong: BootSettingsException) {
+            commandLine.fail(EXIT_USAGE, listOf(wrong.message.orEmpty()))
+        }
+    commandLine.serve(RunEntryProcess(settings))
+}
+
 private fun check(flags: List<String>) {
     commandLine.readSettings("check", flags, EntrySettings.ALL, EntrySettings::read)
     println("The settings are valid.")
--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/RosterStore.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/RosterStore.kt
@@ -3,9 +3,9 @@
 import io.egretlock.core.roster.RosterHistory
 import io.egretlock.core.roster.RosterInput
 import io.egretlock.core.roster.RosterOutput
+import io.egretlock.process.event
 import io.egretlock.store.KeyValueStore
 import io.egretlock.store.StoreException
-import io.egretlock.process.event
 import io.github.oshai.kotlinlogging.KotlinLogging
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.serialization.SerializationException
--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/SettingsKeeper.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/SettingsKeeper.kt
@@ -2,9 +2,9 @@
 
 import io.egretlock.core.settings.SettingsTable
 import io.egretlock.core.settings.StoredTeamSettings
+import io.egretlock.process.event
 import io.egretlock.store.StoreException
 import io.egretlock.store.settings.SettingsWatcherListener
-import io.egretlock.process.event
 import io.github.oshai.kotlinlogging.KotlinLogging
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.flow.Flow
--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/SettingsRoutes.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/SettingsRoutes.kt
@@ -7,9 +7,9 @@
 import io.egretlock.core.settings.SettingsText
 import io.egretlock.core.settings.StoredTeamSettings
 import io.egretlock.core.settings.TeamSettings
+import io.egretlock.process.event
 import io.egretlock.store.settings.SettingsEditOutcome
 import io.egretlock.store.settings.SettingsEditor
-import io.egretlock.process.event
 import io.github.oshai.kotlinlogging.KotlinLogging
 import io.javalin.config.JavalinConfig
 import io.javalin.http.Context
--- /dev/null
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/run/RunEntryProcess.kt
@@ -0,0 +1,176 @@
+package io.egretlock.entry.run
+
+import io.egretlock.core.job.JobId
+import io.egretlock.core.job.ProcessId
+import io.egretlock.core.roster.NodeAddress
+import io.egretlock.core.run.JobQueue
+import io.egretlock.core.run.QueueConfiguration
+import io.egretlock.core.run.StepJob
+import io.egretlock.core.run.StepJobOutcome
+import io.egretlock.core.run.StepJobPolicies
+import io.egretlock.core.run.StepJobService
+import io.egretlock.platform.BootSettings
+import io.egretlock.platform.CallerRequests
+import io.egretlock.platform.PlatformStore
+import io.egretlock.platform.http.HttpCaller
+import io.egretlock.platform.http.HttpServer
+import io.egretlock.platform.wire.WireConfiguration
+import io.egretlock.process.ServedProcess
+import io.egretlock.process.event
+import io.egretlock.process.launchEssential
+import io.egretlock.protocol.Link
+import io.egretlock.protocol.LinkListener
+import io.egretlock.protocol.LinkTiming
+import io.egretlock.protocol.RunAgentHello
+import io.egretlock.protocol.RunEntryHello
+import io.egretlock.store.EntryDirectory
+import io.egretlock.store.StoreException
+import io.github.oshai.kotlinlogging.KotlinLogging
+import io.ktor.network.selector.SelectorManager
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.asCoroutineDispatcher
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import java.util.concurrent.Executors
+
+private val logger = KotlinLogging.logger {}
+
+/** An entry on the users' platform. All of its coroutines share one thread, but for those that wait for sockets. */
+internal class RunEntryProcess(
+    private val settings: BootSettings,
+) : ServedProcess,
+    StepJobService {
+    private val dispatcher = Executors.newSingleThreadExecutor { Thread(it, "entry") }.asCoroutineDispatcher()
+    private val scope = CoroutineScope(SupervisorJob() + dispatcher)
+    private val selector = SelectorManager(Dispatchers.IO)
+    private val identity = ProcessId(settings.nodeName, System.currentTimeMillis())
+    private val address = NodeAddress(settings.host, settings.firstPort)
+    private val entry = RunEntry(StepJobPolicies.standard(settings.failureDomain), ::nowMillis, ::epochSeconds)
+    private val store = store()
+    private val directory = EntryDirectory(store, store)
+    private val keeper =
+        ConfigurationKeeper(
+            store(),
+            PlatformStore.CONFIGURATION_PREFIX,
+            WireConfiguration::decode,
+        ) { configuration, _ ->
+            applied(configuration)
+        }
+    private val peers = EntryPeers(identity, address, keeper, selector, scope)
+    private val drain = EntryDrain(::nowMillis)
+
+    override val configuration: QueueConfiguration?
+        get() = keeper.current
+
+    override val isReady: Boolean
+        get() = configuration != null && !drain.isDraining
+
+    override val isLeaving: Boolean
+        get() = drain.isDraining
+
+    override suspend fun start() {
+        scope.launchEssential(logger, RunEntryEvent.TASK_FAILED) { entry.run() }
+        scope.launchEssential(logger, RunEntryEvent.TASK_FAILED) { keeper.run() }
+        LinkListener.bind(address, selector, scope, TIMING, ::serve)
+        val callers = CallerRequests(this)
+        val front = checkNotNull(settings.callers) { "An entry needs an address for callers." }
+        val readiness = checkNotNull(settings.readiness) { "An entry needs an address for readiness." }
+        HttpServer.bind(front.host, front.port, selector, scope, callers::answer)
+        HttpServer.bind(readiness.host, readiness.port, selector, scope) { callers.readiness() }
+        scope.launch { peers.know(settings.seeds.map { NodeAddress(it, settings.firstPort) }) }
+        scope.launch { directory.keepListed(address, ::directoryFailure) }
+        scope.launch { watchEntries() }
+        logger.event(RunEntryEvent.STARTED, "entry" to identity)
+    }
+
+    /** Answers what comes until the balancer has noticed, then what is held, and ends before the end by force. */
+    override suspend fun stop() {
+        logger.event(RunEntryEvent.DRAINING, "jobs" to entry.heldCount)
+        drain.begin(settings.graceMillis)
+        while (!drain.mayEnd(entry.heldCount)) delay(POLL_MILLIS)
+        logger.event(RunEntryEvent.STOPPED, "jobs" to entry.heldCount)
+    }
+
+    override suspend fun submit(
+        job: StepJob,
+        queue: JobQueue,
+        patienceMillis: Long?,
+    ): StepJobOutcome {
+        if (!drain.takesRequests()) return RunEntry.LEAVING
+        return entry.submit(job, queue, drain.bounded(patienceMillis))
+    }
+
+    override fun hasStarted(job: JobId): Boolean? = entry.hasStarted(job)
+
+    override fun waiting(queue: String): Int = entry.waiting(queue)
+
+    override fun cancel(job: JobId): Boolean {
+        if (hasStarted(job) == null) return false
+        entry.tell(RunEntryInput.Cancelled(job))
+        return true
+    }
+
+    private suspend fun serve(link: Link) {
+        when (val hello = link.incoming.receiveCatching().getOrNull()) {
+            is RunAgentHello -> serveAgent(hello, link)
+            is RunEntryHello -> {
+                peers.know(hello.entries)
+                peers.accepted(link)
+            }
+            else -> link.close()
+        }
+    }
+
+    private suspend fun serveAgent(
+        hello: RunAgentHello,
+        link: Link,
+    ) {
+        link.send(RunEntryHello(identity, peers.known))
+        entry.tell(RunEntryInput.AgentConnected(hello, link))
+        for (message in link.incoming) entry.tell(RunEntryInput.AgentMessage(link, message))
+        entry.tell(RunEntryInput.AgentLost(link))
+    }
+
+    private fun applied(configuration: QueueConfiguration) {
+        entry.tell(RunEntryInput.QueuesChanged(configuration.routes.mapTo(HashSet()) { it.queue.name }))
+        peers.announce()
+    }
+
+    private suspend fun watchEntries() {
+        while (true) {
+            try {
+                directory.watch().collect { peers.listed(it) }
+            } catch (failure: StoreException) {
+                directoryFailure(failure)
+            }
+            delay(STORE_RETRY_MILLIS)
+        }
+    }
+
+    private var isDirectoryLost = false
+
+    private fun directoryFailure(failure: StoreException?) {
+        if (failure != null && !isDirectoryLost) logger.event(RunEntryEvent.DIRECTORY_LOST, "cause" to failure.message)
+        if (failure == null && isDirectoryLost) logger.event(RunEntryEvent.DIRECTORY_REGAINED)
+        isDirectoryLost = failure != null
+    }
+
+    private fun store() =
+        PlatformStore(HttpCaller(settings.store, selector, 1), HttpCaller(settings.store, selector, 1))
+
+    private fun nowMillis(): Long = System.nanoTime() / NANOS_PER_MILLI
+
+    private fun epochSeconds(): Int = (System.currentTimeMillis() / MILLIS_PER_SECOND).toInt()
+
+    private companion object {
+        const val NANOS_PER_MILLI = 1_000_000L
+        const val MILLIS_PER_SECOND = 1_000L
+        const val POLL_MILLIS = 20L
+        const val STORE_RETRY_MILLIS = 500L
+
+        /** The same as the agents' end of these connections. */
+        val TIMING = LinkTiming(heartbeatMillis = 150, silenceMillis = 600)
+    }
+}
--- a/egretlock-entry/src/test/kotlin/io/egretlock/entry/EntryProcessTest.kt
+++ b/egretlock-entry/src/test/kotlin/io/egretlock/entry/EntryProcessTest.kt
@@ -2,12 +2,12 @@
 
 import io.egretlock.core.job.FailureDomain
 import io.egretlock.core.roster.NodeAddress
+import io.egretlock.process.LogFormat
+import io.egretlock.protocol.LinkTiming
 import io.egretlock.store.KeyValueStore
 import io.egretlock.store.StoreEntry
 import io.egretlock.store.StoreSnapshot
 import io.egretlock.store.SwapResult
-import io.egretlock.process.LogFormat
-import io.egretlock.protocol.LinkTiming
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.delay
--- a/egretlock-entry/src/test/kotlin/io/egretlock/entry/LeavingEntry.kt
+++ b/egretlock-entry/src/test/kotlin/io/egretlock/entry/LeavingEntry.kt
@@ -9,14 +9,14 @@
 import io.egretlock.core.roster.RosterInput
 import io.egretlock.core.roster.RosterKeeper
 import io.egretlock.core.roster.RosterTiming
+import io.egretlock.protocol.ClaimHandover
+import io.egretlock.protocol.HandoverReply
+import io.egretlock.protocol.Message
 import io.egretlock.store.KeyValueStore
 import io.egretlock.store.StoreEntry
 import io.egretlock.store.StoreException
 import io.egretlock.store.StoreSnapshot
 import io.egretlock.store.SwapResult
-import io.egretlock.protocol.ClaimHandover
-import io.egretlock.protocol.HandoverReply
-import io.egretlock.protocol.Message
 import io.prometheus.metrics.model.registry.PrometheusRegistry
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
--- /dev/null
+++ b/egretlock-process/src/main/kotlin/io/egretlock/process/EventLineEncoder.kt
@@ -0,0 +1,56 @@
+package io.egretlock.process
+
+import ch.qos.logback.classic.spi.ILoggingEvent
+import ch.qos.logback.core.encoder.EncoderBase
+
+/**
+ * Writes each log event as one line of JSON: `time` in milliseconds since 1970, `level`, `event` if it has a number,
+ * and its particulars. Numbers and truth values stay such, everything else is text.
+ */
+class EventLineEncoder : EncoderBase<ILoggingEvent>() {
+    override fun headerBytes(): ByteArray? = null
+
+    override fun footerBytes(): ByteArray? = null
+
+    override fun encode(event: ILoggingEvent): ByteArray {
+        val line = StringBuilder(TYPICAL_LENGTH)
+        line.append("{\"time\":").append(event.timeStamp)
+        field(line, "level", event.level.toString())
+        val pairs = event.keyValuePairs.orEmpty()
+        pairs.forEach { field(line, it.key, it.value) }
+        if (pairs.isEmpty()) field(line, "message", event.formattedMessage)
+        event.throwableProxy?.let { field(line, "cause", "${it.className}: ${it.message}") }
+        return line.append("}\n").toString().encodeToByteArray()
+    }
+
+    private fun field(
+        line: StringBuilder,
+        name: String,
+        value: Any?,
+    ) {
+        line.append(",\"").append(name).append("\":")
+        when (value) {
+            null, is Number, is Boolean -> line.append(value)
+            else -> text(line, value.toString())
+        }
+    }
+
+    private fun text(
+        line: StringBuilder,
+        value: String,
+    ) {
+        line.append('"')
+        for (character in value) {
+            when {
+                character == '"' || character == '\\' -> line.append('\\').append(character)
+                character < ' ' -> line.append(' ')
+                else -> line.append(character)
+            }
+        }
+        line.append('"')
+    }
+
+    private companion object {
+        const val TYPICAL_LENGTH = 160
+    }
+}
--- a/egretlock-process/src/main/kotlin/io/egretlock/process/LogSetup.kt
+++ b/egretlock-process/src/main/kotlin/io/egretlock/process/LogSetup.kt
@@ -1,5 +1,6 @@
 package io.egretlock.process
 
+import ch.qos.logback.classic.AsyncAppender
 import ch.qos.logback.classic.Level
 import ch.qos.logback.classic.Logger
 import ch.qos.logback.classic.LoggerContext
@@ -28,6 +29,27 @@
         context.getLogger("io.egretlock").level = level
     }
 
+    /**
+     * Replaces whatever configuration stands: one line of JSON for each event on standard output. Lines are written by a
+     * thread of their own; where it can't keep up, lines are dropped rather than waited for.
+     */
+    fun applyStructured(level: Level = Level.INFO) {
+        val context = LoggerFactory.getILoggerFactory() as LoggerContext
+        context.reset()
+        val root = context.getLogger(Logger.ROOT_LOGGER_NAME)
+        root.level = Level.WARN
+        val queue =
+            AsyncAppender().apply {
+                setContext(context)
+                queueSize = QUEUED_LINES
+                isNeverBlock = true
+                addAppender(appender(context, EventLineEncoder().apply { start() }, "System.out"))
+                start()
+            }
+        root.addAppender(queue)
+        context.getLogger("io.egretlock").level = level
+    }
+
     private fun encoder(
         context: LoggerContext,
         format: LogFormat,
@@ -43,11 +65,15 @@
     private fun appender(
         context: LoggerContext,
         lineEncoder: Encoder<ILoggingEvent>,
+        stream: String = "System.err",
     ): ConsoleAppender<ILoggingEvent> =
         ConsoleAppender<ILoggingEvent>().apply {
             setContext(context)
-            target = "System.err"
+            target = stream
             encoder = lineEncoder
             start()
         }
+
+    /** Lines that wait to be written: about a second of the busiest log. */
+    private const val QUEUED_LINES = 2_048
 }
--- /dev/null
+++ b/egretlock-store/src/main/kotlin/io/egretlock/store/EntryDirectory.kt
@@ -0,0 +1,68 @@
+package io.egretlock.store
+
+import io.egretlock.core.roster.NodeAddress
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.flow.Flow
+import kotlinx.coroutines.flow.flow
+
+/**
+ * The entries that are running, as keys of the platform's store: each entry holds a key under a lease, and whoever looks
+ * for entries watches the keys.
+ */
+class EntryDirectory(
+    private val store: KeyValueStore,
+    private val leases: LeaseStore,
+) {
+    /** Keeps [address] listed until cancelled. [onFailure] is told of each failed attempt. */
+    suspend fun keepListed(
+        address: NodeAddress,
+        onFailure: (StoreException?) -> Unit,
+    ): Nothing {
+        var lease: Long? = null
+        while (true) {
+            try {
+                lease = renewed(lease) ?: listed(address)
+                onFailure(null)
+                delay(RENEWAL_MILLIS)
+            } catch (failure: StoreException) {
+                onFailure(failure)
+                delay(RETRY_MILLIS)
+            }
+        }
+    }
+
+    /** Addresses of the listed entries: at first all, then all again after each change. Fails with [StoreException]. */
+    fun watch(): Flow<Set<NodeAddress>> =
+        flow {
+            val snapshot = store.read(PREFIX)
+            val addresses = HashMap<String, NodeAddress>()
+            snapshot.entries.forEach { entry -> parse(entry)?.let { addresses[entry.key] = it } }
+            emit(addresses.values.toSet())
+            store.watch(PREFIX, snapshot.revision).collect { entry ->
+                val address = parse(entry)
+                if (address == null) addresses.remove(entry.key) else addresses[entry.key] = address
+                emit(addresses.values.toSet())
+            }
+        }
+
+    private suspend fun renewed(lease: Long?): Long? = lease?.takeIf { leases.renewLease(it) }
+
+    private suspend fun listed(address: NodeAddress): Long {
+        val lease = leases.grantLease(TIME_TO_LIVE_MILLIS)
+        if (!leases.putLeased("$PREFIX$address", "$address", lease)) throw StoreException("Lease $lease has ended.")
+        return lease
+    }
+
+    private fun parse(entry: StoreEntry): NodeAddress? = entry.value?.let(NodeAddress::parse)
+
+    companion object {
+        private const val PREFIX = "egretlock/entries/"
+
+        /** Lease of a listed entry; connections tell sooner that an entry is gone. */
+        private const val TIME_TO_LIVE_MILLIS = 10_000L
+        private const val RENEWAL_MILLIS = 3_000L
+
+        /** Pause after a failed call; a lapsed key has to be back within two seconds of the store's return. */
+        private const val RETRY_MILLIS = 500L
+    }
+}
