--- /dev/null
+++ b/egretlock-core/src/test/kotlin/io/egretlock/core/run/RunFixtures.kt
@@ -0,0 +1,59 @@
+package io.egretlock.core.run
+
+import io.egretlock.core.job.FailureDomain
+import io.egretlock.core.job.JobId
+import io.egretlock.core.job.ProcessId
+import io.egretlock.core.job.ServiceName
+
+/** Builders for tests of this package. */
+internal object RunFixtures {
+    val service = ServiceName("booking")
+    val ownDomain = FailureDomain("marka")
+    val core = Room(1_000, 64)
+
+    fun queue(
+        name: String = "checks",
+        attempts: Int = 2,
+        slackFactor: Double = 1.6,
+        targetMillis: Long = 60,
+    ) = JobQueue(name, service, priority = 0, attempts, slackFactor, targetMillis)
+
+    fun job(
+        id: String,
+        tasks: Int = 1,
+        estimatedMillis: Long = 100,
+        room: Room = core,
+    ) = StepJob(JobId(id), "specification", listOf(JobStep(tasks, room, estimatedMillis)))
+
+    fun agent(
+        name: String,
+        incarnation: Long = 1,
+    ) = ProcessId(name, incarnation)
+
+    fun report(
+        cores: Int,
+        free: Int = cores,
+        speed: Double = 1.0,
+        accepting: Boolean = true,
+        upstream: String = "u",
+    ) = UpstreamReport(upstream, service, room(cores), room(free), speed, accepting)
+
+    fun room(cores: Int) = Room(cores * 1_000L, cores * 64L)
+
+    fun home(policies: StepJobPolicies = StepJobPolicies.standard(ownDomain)) =
+        StepJobHome(AgentRooms(), policies, epochSeconds = { EPOCH_SECONDS })
+
+    fun run(
+        job: String,
+        index: Int = 0,
+        number: Int = 1,
+    ) = RunId(StepTask(JobId(job), 0, index), number)
+
+    const val EPOCH_SECONDS = 1_700_000_000
+}
+
+internal fun List<StepJobEffect>.starts(): List<StepJobEffect.Start> = filterIsInstance<StepJobEffect.Start>()
+
+internal fun List<StepJobEffect>.answers(): List<StepJobEffect.Answer> = filterIsInstance<StepJobEffect.Answer>()
+
+internal fun List<StepJobEffect>.stops(): List<StepJobEffect.Stop> = filterIsInstance<StepJobEffect.Stop>()
--- /dev/null
+++ b/egretlock-core/src/test/kotlin/io/egretlock/core/run/StepJobHomeTest.kt
@@ -0,0 +1,185 @@
+package io.egretlock.core.run
+
+import io.egretlock.core.job.JobId
+import io.egretlock.core.job.ProcessId
+import io.egretlock.core.job.Reason
+import io.egretlock.core.job.Verdict
+import io.egretlock.core.run.RunFixtures.agent
+import io.egretlock.core.run.RunFixtures.job
+import io.egretlock.core.run.RunFixtures.ownDomain
+import io.egretlock.core.run.RunFixtures.queue
+import io.egretlock.core.run.RunFixtures.report
+import io.egretlock.core.run.RunFixtures.run
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertNotNull
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+
+class StepJobHomeTest {
+    private val home = RunFixtures.home()
+    private val first = agent("first")
+    private val second = agent("second")
+
+    private fun connect(
+        agent: ProcessId,
+        cores: Int,
+        nowMillis: Long = 0,
+    ) = home.agentReported(agent, ownDomain, report(cores), 0, nowMillis)
+
+    private fun succeed(
+        agent: ProcessId,
+        run: RunId,
+        nowMillis: Long,
+    ) = home.runEnded(agent, run, RunEnd.SUCCEEDED, 50.0, nowMillis)
+
+    private fun verdict(effects: List<StepJobEffect>): Verdict =
+        (effects.answers().single().outcome as StepJobOutcome.GivenUp).verdict
+
+    @Test
+    fun `a job is answered once, when all of its tasks have succeeded`() {
+        connect(first, 10)
+        val starts = home.submit(job("a", tasks = 2), queue(), 1_500, 0).starts()
+        assertEquals(listOf(0, 1), starts.single().order.runs.map { it.index })
+        assertTrue(succeed(first, run("a", 0), 50).answers().isEmpty())
+        val answers = succeed(first, run("a", 1), 60).answers()
+        assertEquals(StepJobOutcome.Succeeded, answers.single().outcome)
+        assertTrue(succeed(first, run("a", 1), 70).isEmpty())
+    }
+
+    @Test
+    fun `a job that succeeded a moment ago is answered again without a second run`() {
+        connect(first, 10)
+        home.submit(job("a"), queue(), 1_500, 0)
+        succeed(first, run("a"), 50)
+        val effects = home.submit(job("a"), queue(), 1_500, 100)
+        assertEquals(StepJobOutcome.Succeeded, effects.answers().single().outcome)
+        assertTrue(effects.starts().isEmpty())
+    }
+
+    @Test
+    fun `a job that is held is joined`() {
+        connect(first, 10)
+        home.submit(job("a"), queue(), 1_500, 0)
+        assertTrue(home.submit(job("a"), queue(), 1_500, 20).isEmpty())
+    }
+
+    @Test
+    fun `a task that failed runs elsewhere until its attempts are used up`() {
+        connect(first, 10)
+        connect(second, 10)
+        val firstStart = home.submit(job("a"), queue(attempts = 2), 1_500, 0).starts().single()
+        val retry = home.runEnded(firstStart.agent, run("a", 0, 1), RunEnd.FAILED, 10.0, 10).starts().single()
+        assertEquals(setOf(first, second), setOf(firstStart.agent, retry.agent))
+        assertEquals(2, retry.order.runs.single().number)
+        val answer = home.runEnded(retry.agent, run("a", 0, 2), RunEnd.FAILED, 10.0, 20).answers().single()
+        assertTrue(answer.outcome is StepJobOutcome.Failed)
+    }
+
+    @Test
+    fun `ends that are no failures do not count as attempts`() {
+        connect(first, 10)
+        home.submit(job("a"), queue(attempts = 1), 5_000, 0)
+        val ends = listOf(RunEnd.STOPPED, RunEnd.LOST, RunEnd.STALLED, RunEnd.UNHEALTHY, RunEnd.NOT_STARTED)
+        ends.forEachIndexed { index, end ->
+            val effects = home.runEnded(first, run("a", 0, index + 1), end, 0.0, 10L * index)
+            assertTrue(effects.answers().isEmpty(), "$end")
+        }
+    }
+
+    @Test
+    fun `a used run number is followed by one that no earlier entry can have used`() {
+        connect(first, 10)
+        home.submit(job("a"), queue(), 1_500, 0)
+        val retry = home.runEnded(first, run("a"), RunEnd.NUMBER_USED, 0.0, 5).starts().single()
+        assertEquals(RunFixtures.EPOCH_SECONDS, retry.order.runs.single().number)
+    }
+
+    @Test
+    fun `runs of a lost agent are placed elsewhere only when they can't be at work any more`() {
+        connect(first, 10)
+        home.submit(job("a"), queue(), 5_000, 0)
+        connect(second, 10)
+        assertTrue(home.agentLost(first, 100).starts().isEmpty())
+        assertTrue(home.tick(100 + StepJobHome.RUNS_END_MILLIS - 1).starts().isEmpty())
+        val retry = home.tick(100 + StepJobHome.RUNS_END_MILLIS).starts().single()
+        assertEquals(second, retry.agent)
+    }
+
+    @Test
+    fun `runs of a lost agent are placed at once when its next process has cleared the upstream`() {
+        connect(first, 10)
+        home.submit(job("a"), queue(), 5_000, 0)
+        home.agentLost(first, 100)
+        val retry = home.agentReported(agent("first", incarnation = 2), ownDomain, report(10), 0, 300).starts().single()
+        assertEquals(agent("first", incarnation = 2), retry.agent)
+    }
+
+    @Test
+    fun `the end of an earlier run changes nothing`() {
+        connect(first, 10)
+        home.submit(job("a"), queue(), 5_000, 0)
+        home.runEnded(first, run("a", 0, 1), RunEnd.STOPPED, 0.0, 10)
+        assertTrue(home.runEnded(first, run("a", 0, 1), RunEnd.SUCCEEDED, 10.0, 20).answers().isEmpty())
+        assertNotNull(home.find(JobId("a")))
+    }
+
+    @Test
+    fun `a job is stopped when its last caller leaves`() {
+        connect(first, 10)
+        home.submit(job("a", tasks = 2), queue(), 1_500, 0)
+        val effects = home.abandon(JobId("a"), 20)
+        assertEquals(listOf(run("a", 0), run("a", 1)), effects.stops().map { it.run })
+        assertTrue(effects.answers().isEmpty())
+    }
+
+    @Test
+    fun `a job that never began is refused as not run when its caller's time is over`() {
+        home.submit(job("a"), queue(), 1_500, 0)
+        val verdict = verdict(home.tick(1_500))
+        assertTrue(verdict is Verdict.NotRun && (verdict.retryAfterMillis ?: 0) > 0)
+    }
+
+    @Test
+    fun `a job that has begun is stopped and may have run when its caller's time is over`() {
+        connect(first, 10)
+        home.submit(job("a"), queue(), 1_500, 0)
+        val effects = home.tick(1_500)
+        assertTrue(verdict(effects) is Verdict.MayHaveRun)
+        assertEquals(run("a"), effects.stops().single().run)
+    }
+
+    @Test
+    fun `a job that no upstream can hold is refused at once`() {
+        connect(first, 10)
+        val verdict = verdict(home.submit(job("a", room = Room(20_000, 64)), queue(), 1_500, 0))
+        assertEquals(Reason.IMPOSSIBLE, verdict.reason)
+    }
+
+    @Test
+    fun `a job with a feature that is not served is refused at once`() {
+        connect(first, 10)
+        val verdict = verdict(home.submit(job("a").copy(unsupported = setOf("gang")), queue(), 1_500, 0))
+        assertTrue(verdict is Verdict.NotRun)
+        val advised = verdict(home.submit(job("b"), queue().copy(needsAdvice = true), 1_500, 0))
+        assertTrue(advised is Verdict.NotRun)
+    }
+
+    @Test
+    fun `tasks of a later step wait for the earlier one`() {
+        connect(first, 10)
+        val steps = listOf(JobStep(1, RunFixtures.core, 50), JobStep(1, RunFixtures.core, 50, after = listOf(0)))
+        val starts = home.submit(StepJob(JobId("a"), "", steps), queue(), 1_500, 0).starts()
+        assertEquals(listOf(0), starts.single().order.runs.map { it.step })
+        assertEquals(listOf(1), succeed(first, run("a"), 50).starts().single().order.runs.map { it.step })
+    }
+
+    @Test
+    fun `orders that a report does not cover keep their room`() {
+        connect(first, 2)
+        home.submit(job("a", tasks = 2), queue(), 5_000, 0)
+        home.agentReported(first, ownDomain, report(2), seenSequence = 0, nowMillis = 5)
+        assertTrue(home.submit(job("b"), queue(), 5_000, 6).starts().isEmpty())
+        val starts = home.agentReported(first, ownDomain, report(2), seenSequence = 1, nowMillis = 7).starts()
+        assertEquals(JobId("b"), starts.single().order.job)
+    }
+}
