Look at the settings again on SIGHUP instead of ending

Cause: the JVM ends on SIGHUP; the platform sends it whenever the settings change, also when an instance is replaced. Ruled out: crashes and memory (exit code 0, peak 41 MB). Change: a handler that reads the seeds again; watches of the store wait 10 s where the age does not matter, four order connections instead of eight (priced).

--- a/egretlock-agent/src/main/kotlin/io/egretlock/agent/run/RunAgentProcess.kt
+++ b/egretlock-agent/src/main/kotlin/io/egretlock/agent/run/RunAgentProcess.kt
@@ -63,6 +63,15 @@
         logger.event(RunAgentEvent.STOPPED, "runs" to agent.runCount)
     }
 
+    /** Takes the seeds that the settings name now. Addresses of a running process do not change. */
+    override fun reload() {
+        scope.launch {
+            val changed = BootSettings.readOrNull() ?: settings
+            logger.event(RunAgentEvent.SETTINGS_CHANGED, "seeds" to changed.seeds)
+            dialers.know(changed.seeds.map { NodeAddress(it, settings.firstPort) })
+        }
+    }
+
     private fun upstreamCalls(): UpstreamCalls =
         UpstreamCalls(
             orders = HttpCaller(upstream, selector, ORDER_CONNECTIONS),
@@ -70,7 +79,7 @@
         )
 
     private suspend fun watchEntries() {
-        val store = PlatformStore(HttpCaller(settings.store, selector, 1), HttpCaller(settings.store, selector, 1))
+        val store = PlatformStore(caller(), caller(), WATCH_MILLIS)
         val directory = EntryDirectory(store, store)
         var isLost = false
         while (true) {
@@ -88,6 +97,8 @@
         }
     }
 
+    private fun caller() = HttpCaller(settings.store, selector, connectionLimit = 1)
+
     private fun nowMillis(): Long = System.nanoTime() / NANOS_PER_MILLI
 
     private inner class Receiver : HeartbeatReceiver {
@@ -100,7 +111,7 @@
         const val NANOS_PER_MILLI = 1_000_000L
 
         /** Connections for orders. New connections to an upstream are priced; orders take about a millisecond each. */
-        const val ORDER_CONNECTIONS = 8
+        const val ORDER_CONNECTIONS = 4
 
         /** Time before the end by force at which the process ends by itself. */
         const val STOP_MARGIN_MILLIS = 500L
@@ -109,5 +120,8 @@
         const val SETTLE_MILLIS = 100L
         const val POLL_MILLIS = 20L
         const val STORE_RETRY_MILLIS = 500L
+
+        /** Entries tell of each other too, so that a watch that went silent is not missed. */
+        const val WATCH_MILLIS = 10_000L
     }
 }
--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/run/RunEntryProcess.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/run/RunEntryProcess.kt
@@ -48,11 +48,11 @@
     private val identity = ProcessId(settings.nodeName, System.currentTimeMillis())
     private val address = NodeAddress(settings.host, settings.firstPort)
     private val entry = RunEntry(StepJobPolicies.standard(settings.failureDomain), ::nowMillis, ::epochSeconds)
-    private val store = store()
+    private val store = store(DIRECTORY_WATCH_MILLIS)
     private val directory = EntryDirectory(store, store)
     private val keeper =
         ConfigurationKeeper(
-            store(),
+            store(CONFIGURATION_WATCH_MILLIS),
             PlatformStore.CONFIGURATION_PREFIX,
             WireConfiguration::decode,
         ) { configuration, _ ->
@@ -93,6 +93,15 @@
         logger.event(RunEntryEvent.STOPPED, "jobs" to entry.heldCount)
     }
 
+    /** Takes the seeds that the settings name now. Addresses of a running process do not change. */
+    override fun reload() {
+        scope.launch {
+            val changed = BootSettings.readOrNull() ?: settings
+            logger.event(RunEntryEvent.SETTINGS_CHANGED, "seeds" to changed.seeds)
+            peers.know(changed.seeds.map { NodeAddress(it, settings.firstPort) })
+        }
+    }
+
     override suspend fun submit(
         job: StepJob,
         queue: JobQueue,
@@ -157,8 +166,9 @@
         isDirectoryLost = failure != null
     }
 
-    private fun store() =
-        PlatformStore(HttpCaller(settings.store, selector, 1), HttpCaller(settings.store, selector, 1))
+    private fun store(watchMillis: Long) = PlatformStore(caller(), caller(), watchMillis)
+
+    private fun caller() = HttpCaller(settings.store, selector, connectionLimit = 1)
 
     private fun nowMillis(): Long = System.nanoTime() / NANOS_PER_MILLI
 
@@ -170,6 +180,12 @@
         const val POLL_MILLIS = 20L
         const val STORE_RETRY_MILLIS = 500L
 
+        /** A configuration has to be in force within two seconds also after a watch went silent. */
+        const val CONFIGURATION_WATCH_MILLIS = 2_000L
+
+        /** Entries tell agents and each other of new ones too. */
+        const val DIRECTORY_WATCH_MILLIS = 10_000L
+
         /** The same as the agents' end of these connections. */
         val TIMING = LinkTiming(heartbeatMillis = 150, silenceMillis = 600)
     }
--- a/egretlock-process/src/main/kotlin/io/egretlock/process/ServedProcess.kt
+++ b/egretlock-process/src/main/kotlin/io/egretlock/process/ServedProcess.kt
@@ -7,6 +7,7 @@
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
+import sun.misc.Signal
 import java.net.BindException
 import kotlin.system.exitProcess
 
@@ -17,9 +18,15 @@
 
     /** Stops gracefully. */
     suspend fun stop()
+
+    /** Takes note that its settings may have changed. */
+    fun reload() = Unit
 }
 
-/** Starts [process] and serves until SIGTERM or SIGINT, which stop it gracefully with exit status 0. */
+/**
+ * Starts [process] and serves until SIGTERM or SIGINT, which stop it gracefully with exit status 0. SIGHUP, which would
+ * otherwise end the process, makes it look at its settings again.
+ */
 fun CommandLine.serve(process: ServedProcess): Nothing {
     try {
         runBlocking { process.start() }
@@ -28,6 +35,7 @@
     } catch (inUse: JavalinBindException) {
         fail(EXIT_FAILURE, listOf("An address can't be bound: ${inUse.message}"))
     }
+    reloadOnHangup(process)
     Runtime.getRuntime().addShutdownHook(
         Thread {
             runBlocking { process.stop() }
@@ -38,6 +46,11 @@
     exitProcess(0)
 }
 
+/** Has [process] look at its settings again at each SIGHUP. */
+internal fun reloadOnHangup(process: ServedProcess) {
+    Signal.handle(Signal("HUP")) { process.reload() }
+}
+
 /**
  * Launches a task that the process cannot do without. If [body] fails, [event] is logged and the process ends at once:
  * without the task it would accept requests and never answer them, while the platform replaces a process that ended.
--- /dev/null
+++ b/egretlock-process/src/test/kotlin/io/egretlock/process/ServedProcessTest.kt
@@ -0,0 +1,28 @@
+package io.egretlock.process
+
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import sun.misc.Signal
+import java.util.concurrent.CountDownLatch
+import java.util.concurrent.TimeUnit
+
+class ServedProcessTest {
+    private val reloaded = CountDownLatch(1)
+
+    private val process =
+        object : ServedProcess {
+            override suspend fun start() = Unit
+
+            override suspend fun stop() = Unit
+
+            override fun reload() = reloaded.countDown()
+        }
+
+    /** Without a handler the signal ends this process. */
+    @Test
+    fun `a hangup makes a process look at its settings and go on`() {
+        reloadOnHangup(process)
+        Signal.raise(Signal("HUP"))
+        assertTrue(reloaded.await(10, TimeUnit.SECONDS))
+    }
+}
--- /dev/null
+++ b/model/RunLease.tla
@@ -0,0 +1,205 @@
+------------------------------ MODULE RunLease ------------------------------
+(***************************************************************************)
+(* One task, whose job is handed in at home 1 and, when its caller has     *)
+(* missed that home, again at home 2. Each upstream has an agent beside    *)
+(* it. Time is in ticks of a third of a second.                            *)
+(*                                                                         *)
+(* A placement is one run of the task. Its order waits in the connection   *)
+(* until the agent reads it, then the start waits in the network until the *)
+(* upstream carries it out, both for as long as the other rules allow.     *)
+(* Obligations of a process that runs are met before time goes on.         *)
+(***************************************************************************)
+EXTENDS Integers, FiniteSets
+
+CONSTANTS
+    Upstreams,
+    Placements,         \* identities of runs
+    MaxTime,
+    Lease,              \* longest lease of an upstream
+    Silence,            \* time in which both ends notice a silent connection
+    Resend,             \* pause of a caller that has missed its home
+    Wait,               \* time from a lost connection to the next placement
+    StopRunsOfLostHome, \* safeguards; FALSE gives a mutant
+    WaitForLostAgent,
+    ClearBeforeReport,
+    RaiseToken,
+    DeadlineFromAnswer,
+    ConfirmStop
+
+Homes == {1, 2}
+Never == MaxTime + 10
+
+VARIABLES
+    now,
+    homeAlive,   \* home -> it runs
+    missedAt,    \* time when the caller missed home 1, or Never
+    cutAt,       \* home, upstream -> time when their connection went silent, or Never
+    noticedAt,   \* home, upstream -> time when the home noticed that, or Never
+    agent,       \* upstream -> "up", "down" or "still"
+    answeredAt,  \* upstream -> time of its last answer to its agent
+    leaseUntil,  \* upstream -> end of the lease of all that runs there
+    stage,       \* placement -> "unused", "ordered", "starting", "active", "over"
+    homeOf,      \* placement -> home
+    on,          \* placement -> upstream
+    deadline,    \* placement -> time after which its start is refused
+    owned,       \* placement -> its agent has it in its books
+    settled      \* placement -> its home was told that it is over
+
+vars == <<now, homeAlive, missedAt, cutAt, noticedAt, agent, answeredAt, leaseUntil, stage, homeOf, on, deadline, owned, settled>>
+
+Init ==
+    /\ now = 0 /\ missedAt = Never
+    /\ homeAlive = [h \in Homes |-> TRUE]
+    /\ cutAt = [h \in Homes |-> [u \in Upstreams |-> Never]]
+    /\ noticedAt = cutAt
+    /\ agent = [u \in Upstreams |-> "up"]
+    /\ answeredAt = [u \in Upstreams |-> 0]
+    /\ leaseUntil = [u \in Upstreams |-> 0]
+    /\ stage = [p \in Placements |-> "unused"]
+    /\ homeOf = [p \in Placements |-> 1]
+    /\ on = [p \in Placements |-> CHOOSE u \in Upstreams : TRUE]
+    /\ deadline = [p \in Placements |-> 0]
+    /\ owned = [p \in Placements |-> FALSE]
+    /\ settled = [p \in Placements |-> FALSE]
+
+Of(h) == {p \in Placements : stage[p] # "unused" /\ homeOf[p] = h}
+
+\* The home knows that the run is over, or has waited long enough for it.
+MayFollow(h, p) ==
+    \/ settled[p]
+    \/ /\ noticedAt[h][on[p]] # Never
+       /\ ~WaitForLostAgent \/ now >= noticedAt[h][on[p]] + Wait
+
+Place(h, u, p) ==
+    /\ homeAlive[h] /\ stage[p] = "unused" /\ noticedAt[h][u] = Never
+    /\ h = 2 => missedAt # Never /\ now >= missedAt + Resend
+    /\ \A q \in Of(h) : MayFollow(h, q)
+    /\ stage' = [stage EXCEPT ![p] = "ordered"]
+    /\ homeOf' = [homeOf EXCEPT ![p] = h]
+    /\ on' = [on EXCEPT ![p] = u]
+    /\ UNCHANGED <<now, homeAlive, missedAt, cutAt, noticedAt, agent, answeredAt, leaseUntil, deadline, owned, settled>>
+
+\* Orders that were sent before a cut are read; an agent that stood still reads them when it wakes.
+Read(p) ==
+    LET u == on[p] IN
+    /\ stage[p] = "ordered" /\ agent[u] = "up" /\ cutAt[homeOf[p]][u] # -1
+    /\ stage' = [stage EXCEPT ![p] = "starting"]
+    /\ owned' = [owned EXCEPT ![p] = TRUE]
+    /\ deadline' = [deadline EXCEPT ![p] = (IF DeadlineFromAnswer THEN answeredAt[u] ELSE now) + Lease]
+    /\ UNCHANGED <<now, homeAlive, missedAt, cutAt, noticedAt, agent, answeredAt, leaseUntil, homeOf, on, settled>>
+
+CarryOut(p) ==
+    /\ stage[p] = "starting"
+    /\ IF now < deadline[p]
+       THEN /\ stage' = [stage EXCEPT ![p] = "active"]
+            /\ leaseUntil' = [leaseUntil EXCEPT ![on[p]] = IF @ > deadline[p] THEN @ ELSE deadline[p]]
+       ELSE /\ stage' = [stage EXCEPT ![p] = "over"]
+            /\ UNCHANGED leaseUntil
+    /\ UNCHANGED <<now, homeAlive, missedAt, cutAt, noticedAt, agent, answeredAt, homeOf, on, deadline, owned, settled>>
+
+Renew(u) ==
+    /\ agent[u] = "up" /\ answeredAt[u] < now
+    /\ answeredAt' = [answeredAt EXCEPT ![u] = now]
+    /\ leaseUntil' = [leaseUntil EXCEPT ![u] = IF answeredAt[u] + Lease > @ THEN answeredAt[u] + Lease ELSE @]
+    /\ UNCHANGED <<now, homeAlive, missedAt, cutAt, noticedAt, agent, stage, homeOf, on, deadline, owned, settled>>
+
+\* The start had no answer, or the run stalled: it is stopped and placed again.
+StopAndTell(p) ==
+    /\ owned[p] /\ agent[on[p]] = "up" /\ stage[p] \in {"starting", "active"}
+    /\ stage' = IF ConfirmStop THEN [stage EXCEPT ![p] = "over"] ELSE stage
+    /\ owned' = [owned EXCEPT ![p] = FALSE]
+    /\ settled' = [settled EXCEPT ![p] = cutAt[homeOf[p]][on[p]] = Never]
+    /\ UNCHANGED <<now, homeAlive, missedAt, cutAt, noticedAt, agent, answeredAt, leaseUntil, homeOf, on, deadline>>
+
+\* The agent notices that it misses a home: it stops that home's runs, and reads no more orders of that connection.
+MissHome(h, u) ==
+    /\ agent[u] = "up" /\ cutAt[h][u] \notin {Never, -1}
+    /\ cutAt' = [cutAt EXCEPT ![h][u] = -1]
+    /\ noticedAt' = IF noticedAt[h][u] = Never THEN [noticedAt EXCEPT ![h][u] = now] ELSE noticedAt
+    /\ stage' = [p \in Placements |->
+                    IF homeOf[p] = h /\ on[p] = u /\ stage[p] # "unused"
+                       /\ (StopRunsOfLostHome \/ stage[p] = "ordered")
+                    THEN "over" ELSE stage[p]]
+    /\ UNCHANGED <<now, homeAlive, missedAt, agent, answeredAt, leaseUntil, homeOf, on, deadline, owned, settled>>
+
+NoticeLoss(h, u) ==
+    /\ homeAlive[h] /\ cutAt[h][u] # Never /\ noticedAt[h][u] = Never
+    /\ noticedAt' = [noticedAt EXCEPT ![h][u] = now]
+    /\ UNCHANGED <<now, homeAlive, missedAt, cutAt, agent, answeredAt, leaseUntil, stage, homeOf, on, deadline, owned, settled>>
+
+CutEvery(h) == [u \in Upstreams |-> IF cutAt[h][u] = Never THEN now ELSE cutAt[h][u]]
+
+\* The caller misses its home at the earliest when agents could notice it too.
+HomeDies ==
+    /\ homeAlive[1]
+    /\ homeAlive' = [homeAlive EXCEPT ![1] = FALSE]
+    /\ missedAt' = now
+    /\ cutAt' = [cutAt EXCEPT ![1] = CutEvery(1)]
+    /\ UNCHANGED <<now, noticedAt, agent, answeredAt, leaseUntil, stage, homeOf, on, deadline, owned, settled>>
+
+Cut(h, u) ==
+    /\ cutAt[h][u] = Never /\ homeAlive[h]
+    /\ cutAt' = [cutAt EXCEPT ![h][u] = now]
+    /\ UNCHANGED <<now, homeAlive, missedAt, noticedAt, agent, answeredAt, leaseUntil, stage, homeOf, on, deadline, owned, settled>>
+
+\* An agent that dies forgets its books; orders that it had not read are lost.
+AgentDies(u) ==
+    /\ agent[u] \in {"up", "still"}
+    /\ agent' = [agent EXCEPT ![u] = "down"]
+    /\ owned' = [p \in Placements |-> owned[p] /\ on[p] # u]
+    /\ stage' = [p \in Placements |-> IF on[p] = u /\ stage[p] = "ordered" THEN "over" ELSE stage[p]]
+    /\ cutAt' = [h \in Homes |-> [cutAt[h] EXCEPT ![u] = IF @ = Never THEN now ELSE @]]
+    /\ UNCHANGED <<now, homeAlive, missedAt, noticedAt, answeredAt, leaseUntil, homeOf, on, deadline, settled>>
+
+\* The next process stops what it finds. Its higher fencing token refuses starts of the earlier one. Then it reports.
+AgentReturns(u) ==
+    /\ agent[u] = "down"
+    /\ agent' = [agent EXCEPT ![u] = "up"]
+    /\ answeredAt' = [answeredAt EXCEPT ![u] = now]
+    /\ stage' = [p \in Placements |->
+                    IF on[p] # u THEN stage[p]
+                    ELSE IF stage[p] = "active" /\ ClearBeforeReport THEN "over"
+                    ELSE IF stage[p] = "starting" /\ RaiseToken THEN "over"
+                    ELSE IF stage[p] = "ordered" THEN "over"
+                    ELSE stage[p]]
+    /\ settled' = [p \in Placements |-> settled[p] \/ (on[p] = u /\ stage[p] # "unused" /\ homeAlive[homeOf[p]])]
+    /\ noticedAt' = [h \in Homes |-> [noticedAt[h] EXCEPT ![u] = IF homeAlive[h] THEN Never ELSE @]]
+    /\ cutAt' = [h \in Homes |-> [cutAt[h] EXCEPT ![u] = IF homeAlive[h] THEN Never ELSE -1]]
+    /\ UNCHANGED <<now, homeAlive, missedAt, leaseUntil, homeOf, on, deadline, owned>>
+
+StandStill(u) ==
+    /\ agent[u] = "up"
+    /\ agent' = [agent EXCEPT ![u] = "still"]
+    /\ cutAt' = [h \in Homes |-> [cutAt[h] EXCEPT ![u] = IF @ = Never THEN now ELSE @]]
+    /\ UNCHANGED <<now, homeAlive, missedAt, noticedAt, answeredAt, leaseUntil, stage, homeOf, on, deadline, owned, settled>>
+
+\* After a long standstill the first answer closes all connections: MissHome, before time goes on.
+Wake(u) ==
+    /\ agent[u] = "still"
+    /\ agent' = [agent EXCEPT ![u] = "up"]
+    /\ UNCHANGED <<now, homeAlive, missedAt, cutAt, noticedAt, answeredAt, leaseUntil, stage, homeOf, on, deadline, owned, settled>>
+
+Obliged ==
+    \/ \E h \in Homes, u \in Upstreams :
+          \/ agent[u] = "up" /\ cutAt[h][u] \in 0..(now - Silence)
+          \/ homeAlive[h] /\ cutAt[h][u] \in 0..(now - Silence) /\ noticedAt[h][u] = Never
+    \/ \E u \in Upstreams : agent[u] = "up" /\ answeredAt[u] < now
+
+Tick ==
+    /\ now < MaxTime /\ ~Obliged
+    /\ now' = now + 1
+    /\ stage' = [p \in Placements |->
+                    IF stage[p] = "active" /\ leaseUntil[on[p]] <= now + 1 THEN "over" ELSE stage[p]]
+    /\ UNCHANGED <<homeAlive, missedAt, cutAt, noticedAt, agent, answeredAt, leaseUntil, homeOf, on, deadline, owned, settled>>
+
+Next ==
+    \/ Tick \/ HomeDies
+    \/ \E p \in Placements : Read(p) \/ CarryOut(p) \/ StopAndTell(p)
+    \/ \E u \in Upstreams : Renew(u) \/ AgentDies(u) \/ AgentReturns(u) \/ StandStill(u) \/ Wake(u)
+    \/ \E h \in Homes, u \in Upstreams : MissHome(h, u) \/ NoticeLoss(h, u) \/ Cut(h, u)
+    \/ \E h \in Homes, u \in Upstreams, p \in Placements : Place(h, u, p)
+
+Spec == Init /\ [][Next]_vars
+
+OneRunAtATime == Cardinality({p \in Placements : stage[p] = "active"}) <= 1
+=============================================================================
