Keep room for short tasks and serve the smaller jobs of each queue first at the crest

Change: ShortTaskReserve, RelativeSizeOrder, a margin of 1.3 before an upstream counts as fast enough; the forecast counts the work that the order puts first. The ledger renews nothing while runs of an earlier agent or an overdue stop remain.

--- a/egretlock-agent/src/main/kotlin/io/egretlock/agent/run/RunAgent.kt
+++ b/egretlock-agent/src/main/kotlin/io/egretlock/agent/run/RunAgent.kt
@@ -172,7 +172,13 @@
             if (pauseMillis > 0) delay(pauseMillis)
             val token = fence.value
             val number = ledger.renewing()
-            val result = orders.renew(ledger.leaseDeadlineClockMillis, ledger.lastEnd, RENEWAL_WAIT_MILLIS, token)
+            val result =
+                orders.renew(
+                    ledger.renewalDeadlineClockMillis(nowMillis()),
+                    ledger.lastEnd,
+                    RENEWAL_WAIT_MILLIS,
+                    token,
+                )
             tell(RunAgentInput.Renewed(number, result, token))
         }
     }
--- /dev/null
+++ b/egretlock-bench/src/main/kotlin/io/egretlock/bench/steps/CrestLoad.kt
@@ -0,0 +1,147 @@
+package io.egretlock.bench.steps
+
+import io.egretlock.core.job.JobId
+import io.egretlock.core.job.ServiceName
+import io.egretlock.core.run.JobQueue
+import io.egretlock.core.run.JobStep
+import io.egretlock.core.run.Room
+import io.egretlock.core.run.StepJob
+import java.util.Random
+import kotlin.math.PI
+import kotlin.math.exp
+import kotlin.math.ln
+import kotlin.math.max
+import kotlin.math.roundToInt
+import kotlin.math.sin
+
+/** A job of steps with what only the simulation knows: when it comes, how long each task takes and what it is worth. */
+internal class ArrivingJob(
+    val arrivalMillis: Double,
+    val entry: Int,
+    val queue: JobQueue,
+    val job: StepJob,
+    val taskMillis: List<Double>,
+    val worth: Double,
+) {
+    /** Time from arrival in which the answer is worth everything; up to [LATE_FACTOR] times it is worth a fifth. */
+    val objectiveMillis: Double = queue.slackFactor * taskMillis.max() + queue.targetMillis
+
+    companion object {
+        const val LATE_FACTOR = 3.0
+    }
+}
+
+/**
+ * The day of the booking service: three kinds of job of about equal worth in all, whose rate swings by half in 15 s, with a
+ * burst on the crest that takes the demand to about one and a half times the room.
+ *
+ * @param perSecond mean jobs a second.
+ * @param burst factor on the rate between [BURST_FROM_MILLIS] and [BURST_UNTIL_MILLIS].
+ */
+internal class CrestLoad(
+    seed: Long,
+    private val perSecond: Double,
+    private val burst: Double,
+) {
+    private val random = Random(seed)
+
+    /** Jobs of [durationMillis], in order of arrival. */
+    fun jobs(durationMillis: Double): List<ArrivingJob> {
+        val jobs = mutableListOf<ArrivingJob>()
+        val highest = perSecond * (1 + SWING) * burst
+        var now = 0.0
+        while (true) {
+            now += -ln(1 - random.nextDouble()) / highest * MILLIS
+            if (now >= durationMillis) return jobs
+            if (random.nextDouble() * highest < rate(now)) jobs += job(now, jobs.size)
+        }
+    }
+
+    private fun rate(nowMillis: Double): Double {
+        val wave = 1 + SWING * sin(2 * PI * (nowMillis / PERIOD_MILLIS + PHASE))
+        val factor = if (nowMillis in BURST_FROM_MILLIS..BURST_UNTIL_MILLIS) burst else 1.0
+        return perSecond * wave * factor
+    }
+
+    private fun job(
+        arrivalMillis: Double,
+        number: Int,
+    ): ArrivingJob {
+        val kind = kind()
+        val tasks = max(1, (kind.width * lognormal(SPREAD)).roundToInt()).coerceAtMost(4 * kind.width)
+        val tail = if (random.nextDouble() < TAIL_SHARE) TAIL_FACTOR else 1.0
+        val base = kind.taskMillis * lognormal(SPREAD) * tail
+        val taskMillis = List(tasks) { base * lognormal(UNEVEN) }
+        val cores = kind.coresPerTask * lognormal(CORES_SPREAD)
+        val room = Room((cores * MILLIS).toLong(), MEGABYTES_PER_TASK)
+        val estimate = (base * lognormal(ESTIMATE_ERROR)).toLong().coerceAtLeast(1)
+        val step = JobStep(tasks, room, estimate)
+        val work = taskMillis.sum() * cores / (kind.taskMillis * kind.width * kind.coresPerTask)
+        val worth = kind.worth * (WORTH_FIXED + (1 - WORTH_FIXED) * work).coerceAtMost(WORTH_LIMIT)
+        val entry = if (random.nextDouble() < LARGEST_SHARE) 0 else 1 + random.nextInt(2)
+        return ArrivingJob(
+            arrivalMillis,
+            entry,
+            kind.queue,
+            StepJob(JobId("$number"), "", listOf(step)),
+            taskMillis,
+            worth,
+        )
+    }
+
+    private fun kind(): Kind {
+        val draw = random.nextDouble() * KINDS.sumOf { it.share }
+        var sum = 0.0
+        return KINDS.first {
+            sum += it.share
+            draw < sum
+        }
+    }
+
+    private fun lognormal(spread: Double): Double = exp(spread * random.nextGaussian() - spread * spread / 2)
+
+    private class Kind(
+        val queue: JobQueue,
+        val share: Double,
+        val width: Int,
+        val taskMillis: Double,
+        val worth: Double,
+    ) {
+        val coresPerTask = 6.2
+    }
+
+    companion object {
+        val SERVICE = ServiceName("booking")
+        const val BURST_FROM_MILLIS = 3_000.0
+        const val BURST_UNTIL_MILLIS = 7_000.0
+        private const val MILLIS = 1_000.0
+        private const val SWING = 0.55
+        private const val PERIOD_MILLIS = 15_000.0
+        private const val PHASE = 0.0
+        private const val SPREAD = 0.4
+        private const val UNEVEN = 0.15
+        private const val CORES_SPREAD = 0.2
+        private const val ESTIMATE_ERROR = 0.4
+        private const val TAIL_SHARE = 0.03
+        private const val TAIL_FACTOR = 7.0
+        private const val WORTH_FIXED = 0.3
+        private const val WORTH_LIMIT = 4.0
+        private const val MEGABYTES_PER_TASK = 64L
+
+        /** The balancer's share of the entry that gets most. */
+        private const val LARGEST_SHARE = 0.4
+
+        private fun queue(
+            name: String,
+            priority: Int,
+            attempts: Int,
+        ) = JobQueue(name, SERVICE, priority, attempts, slackFactor = 1.6, targetMillis = 60)
+
+        private val KINDS =
+            listOf(
+                Kind(queue("slot-check", 0, 2), share = 34.4, width = 8, taskMillis = 72.9, worth = 0.0291),
+                Kind(queue("crew-reserve", 2, 3), share = 6.25, width = 4, taskMillis = 1_086.0, worth = 0.16),
+                Kind(queue("pickup-confirm", 1, 3), share = 100.0, width = 2, taskMillis = 243.0, worth = 0.01),
+            )
+    }
+}
--- /dev/null
+++ b/egretlock-bench/src/main/kotlin/io/egretlock/bench/steps/StepSimulation.kt
@@ -0,0 +1,210 @@
+package io.egretlock.bench.steps
+
+import io.egretlock.bench.simulation.EventQueue
+import io.egretlock.core.job.FailureDomain
+import io.egretlock.core.job.ProcessId
+import io.egretlock.core.run.AgentRooms
+import io.egretlock.core.run.OrderedRun
+import io.egretlock.core.run.Room
+import io.egretlock.core.run.RunEnd
+import io.egretlock.core.run.RunId
+import io.egretlock.core.run.RunOrder
+import io.egretlock.core.run.SpeedEstimate
+import io.egretlock.core.run.StepJobEffect
+import io.egretlock.core.run.StepJobHome
+import io.egretlock.core.run.StepJobOutcome
+import io.egretlock.core.run.StepJobPolicies
+import io.egretlock.core.run.UpstreamReport
+
+/** An upstream of the simulation. */
+internal data class SimulatedUpstream(
+    val name: String,
+    val cores: Int,
+    val speed: Double,
+)
+
+/** What became of one job; [answerMillis] is the time from its arrival to its answer. */
+internal data class JobResult(
+    val job: ArrivingJob,
+    val succeeded: Boolean,
+    val answerMillis: Double,
+) {
+    /** Worth that was earned: all of it in time, a fifth when late. */
+    val earned: Double
+        get() =
+            when {
+                !succeeded || answerMillis > job.objectiveMillis * ArrivingJob.LATE_FACTOR -> 0.0
+                answerMillis <= job.objectiveMillis -> job.worth
+                else -> job.worth * LATE_SHARE
+            }
+
+    private companion object {
+        const val LATE_SHARE = 0.2
+    }
+}
+
+/**
+ * Runs the decisions of several entries over the same upstreams in virtual time. Every message takes [DELAY_MILLIS].
+ */
+internal class StepSimulation(
+    policies: (FailureDomain) -> StepJobPolicies,
+    private val upstreams: List<SimulatedUpstream>,
+    entries: Int = 3,
+) {
+    private val events = EventQueue()
+    private val homes = List(entries) { StepJobHome(AgentRooms(), policies(domain(it)), epochSeconds = { 1 }) }
+    private val agents = upstreams.map { Agent(it) }
+    private val arrived = HashMap<String, ArrivingJob>()
+    private val results = mutableListOf<JobResult>()
+
+    private val nowMillis: Double
+        get() = events.nowMillis
+
+    /** Starts that found no room at the agent. */
+    var refusedStarts = 0
+        private set
+
+    /** Plays [jobs] to the end. */
+    fun run(jobs: List<ArrivingJob>): List<JobResult> {
+        agents.forEach { it.report() }
+        jobs.forEach { job -> at(job.arrivalMillis) { arrive(job) } }
+        val endMillis = jobs.last().arrivalMillis + SETTLE_MILLIS
+        homes.indices.forEach { tick(it, endMillis) }
+        events.run()
+        return results
+    }
+
+    private fun arrive(job: ArrivingJob) {
+        arrived[job.job.id.value] = job
+        val patience = (job.objectiveMillis * PATIENCE_FACTOR).toLong()
+        perform(job.entry, homes[job.entry].submit(job.job, job.queue, patience, nowMillis.toLong()))
+    }
+
+    private fun tick(
+        home: Int,
+        endMillis: Double,
+    ) {
+        perform(home, homes[home].tick(nowMillis.toLong()))
+        if (nowMillis < endMillis) at(nowMillis + TICK_MILLIS) { tick(home, endMillis) }
+    }
+
+    private fun perform(
+        home: Int,
+        effects: List<StepJobEffect>,
+    ) {
+        for (effect in effects) {
+            when (effect) {
+                is StepJobEffect.Start -> at(nowMillis + DELAY_MILLIS) { agent(effect.agent).order(home, effect.order) }
+                is StepJobEffect.Stop -> at(nowMillis + DELAY_MILLIS) { agent(effect.agent).stop(effect.run) }
+                is StepJobEffect.Answer -> answer(effect)
+            }
+        }
+    }
+
+    private fun answer(effect: StepJobEffect.Answer) {
+        val job = arrived.getValue(effect.job.value)
+        val isSuccess = effect.outcome == StepJobOutcome.Succeeded
+        results += JobResult(job, isSuccess, nowMillis - job.arrivalMillis + CLIENT_MILLIS)
+    }
+
+    private fun agent(id: ProcessId): Agent = agents.first { it.id == id }
+
+    private fun at(
+        atMillis: Double,
+        action: () -> Unit,
+    ) = events.at(atMillis, action)
+
+    private inner class Agent(
+        private val upstream: SimulatedUpstream,
+    ) {
+        val id = ProcessId(upstream.name, 1)
+        private val domain = domain(upstreams.indexOf(upstream))
+        private val total = Room(upstream.cores * MILLICORES, upstream.cores * MILLICORES)
+        private var free = total
+        private val speed = SpeedEstimate()
+        private val seen = HashMap<Int, Long>()
+        private val running = HashMap<RunId, Room>()
+
+        fun order(
+            home: Int,
+            order: RunOrder,
+        ) {
+            seen[home] = order.sequence
+            order.runs.forEach { start(home, order, it) }
+            report()
+        }
+
+        fun stop(run: RunId) {
+            val room = running.remove(run) ?: return
+            free += room
+            report()
+        }
+
+        fun report() {
+            val report = UpstreamReport(upstream.name, CrestLoad.SERVICE, total, free, speed.speed, accepting = true)
+            homes.forEachIndexed { home, decisions ->
+                val covered = seen[home] ?: 0
+                at(nowMillis + DELAY_MILLIS) {
+                    perform(home, decisions.agentReported(id, domain, report, covered, nowMillis.toLong()))
+                }
+            }
+        }
+
+        private fun start(
+            home: Int,
+            order: RunOrder,
+            run: OrderedRun,
+        ) {
+            val runId = run.id(order.job)
+            if (!free.holds(run.room)) {
+                refusedStarts++
+                tell(home, runId, RunEnd.NOT_STARTED, 0.0)
+                return
+            }
+            free -= run.room
+            running[runId] = run.room
+            val millis = arrived.getValue(order.job.value).taskMillis[run.index] / upstream.speed
+            at(nowMillis + millis) { finish(home, runId, run, millis) }
+        }
+
+        private fun finish(
+            home: Int,
+            runId: RunId,
+            run: OrderedRun,
+            millis: Double,
+        ) {
+            val room = running.remove(runId) ?: return
+            free += room
+            speed.record(run.expectedMillis, millis)
+            tell(home, runId, RunEnd.SUCCEEDED, millis)
+            report()
+        }
+
+        private fun tell(
+            home: Int,
+            run: RunId,
+            end: RunEnd,
+            millis: Double,
+        ) = at(nowMillis + DELAY_MILLIS) {
+            perform(home, homes[home].runEnded(id, run, end, millis, nowMillis.toLong()))
+        }
+    }
+
+    companion object {
+        private const val DELAY_MILLIS = 1.5
+        private const val CLIENT_MILLIS = 6.0
+        private const val TICK_MILLIS = 10.0
+        private const val SETTLE_MILLIS = 10_000.0
+        private const val PATIENCE_FACTOR = 6.0
+        private const val MILLICORES = 1_000L
+        private const val DOMAINS = 3
+
+        private fun domain(index: Int) = FailureDomain("domain-${index % DOMAINS}")
+
+        /** Eleven upstreams of 64 or 96 cores, of which every fourth is of an older and slower generation. */
+        val FLEET: List<SimulatedUpstream> =
+            List(11) { index ->
+                SimulatedUpstream("u$index", if (index % 3 == 2) 96 else 64, if (index % 4 == 0) 0.55 else 1.2)
+            }
+    }
+}
--- a/egretlock-core/src/main/kotlin/io/egretlock/core/run/AgentChoice.kt
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/run/AgentChoice.kt
@@ -45,13 +45,14 @@
  */
 class SlowestSufficientAgent(
     private val ownDomain: FailureDomain,
+    private val margin: Double = ESTIMATE_MARGIN,
 ) : AgentChoice {
     override fun choose(
         demand: TaskDemand,
         candidates: List<AgentRoom>,
         fastest: Double,
     ): AgentRoom? {
-        val sufficient = candidates.filter { demand.expectedMillis / it.report.speed <= demand.leftMillis }
+        val sufficient = candidates.filter { demand.expectedMillis * margin / it.report.speed <= demand.leftMillis }
         if (sufficient.isNotEmpty()) return sufficient.minWithOrNull(preference)
         val canStillBeInTime = demand.expectedMillis / fastest <= demand.leftMillis
         return if (canStillBeInTime) null else candidates.maxByOrNull { it.report.speed }
@@ -65,6 +66,9 @@
     private fun speedClass(speed: Double): Int = (ln(speed) / SPEED_CLASS_WIDTH).roundToInt()
 
     private companion object {
+        /** Factor on expected run times, which are rough, before an upstream counts as fast enough. */
+        const val ESTIMATE_MARGIN = 1.3
+
         /** Logarithmic width of speeds that count as equal: about a factor of 1.5. */
         const val SPEED_CLASS_WIDTH = 0.4
     }
--- a/egretlock-core/src/main/kotlin/io/egretlock/core/run/Backlog.kt
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/run/Backlog.kt
@@ -11,6 +11,7 @@
 internal class Backlog(
     private val rooms: AgentRooms,
     private val placer: StepJobPlacer,
+    private val order: WaitingOrder,
 ) {
     /** Expected wait of [arrival] in milliseconds; 0 while there is room. */
     fun waitMillis(
@@ -19,11 +20,11 @@
         nowMillis: Long,
     ): Double {
         val service = arrival.queue.service
-        val latestStart = placer.latestStart(arrival)
+        val waiting = jobs.filter { it.queue.service == service && it.isWaiting } + arrival
         val ahead =
-            jobs
-                .filter { it.queue.service == service && it.isWaiting }
-                .filter { it.hasStarted || placer.latestStart(it) in nowMillis.toDouble()..latestStart }
+            order
+                .sorted(waiting, { placer.latestStart(it) }, nowMillis)
+                .takeWhile { it !== arrival }
                 .sumOf { job -> job.tasks.filter { it.isWaiting }.sumOf { work(job, it) } }
         if (ahead == 0.0) return 0.0
         val rate = rooms.all.filter { it.report.service == service }.sumOf { rateOf(it) } * share(jobs, service)
--- a/egretlock-core/src/main/kotlin/io/egretlock/core/run/HeldJob.kt
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/run/HeldJob.kt
@@ -7,6 +7,7 @@
  *
  * @property objectiveAtMillis time by which the job should be answered.
  * @property giveUpAtMillis time after which nobody waits for the answer.
+ * @property relativeSize work of the job against the mean of its queue's recent jobs.
  */
 class HeldJob internal constructor(
     val job: StepJob,
@@ -14,6 +15,7 @@
     val arrivedAtMillis: Long,
     val objectiveAtMillis: Double,
     val giveUpAtMillis: Long,
+    val relativeSize: Double = 1.0,
 ) {
     internal val tasks: List<HeldTask> =
         job.steps.flatMapIndexed { step, description ->
--- a/egretlock-core/src/main/kotlin/io/egretlock/core/run/LedgerRun.kt
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/run/LedgerRun.kt
@@ -17,6 +17,7 @@
 
     /** Last renewal sent before the upstream acknowledged the stop; null until then. */
     var stoppedAfterRenewal: Long? = null
+    var stopRequestedAtMillis = 0L
     var stopSentAtMillis = 0L
     var percent = 0
     var progressAtMillis = orderedAtMillis
--- a/egretlock-core/src/main/kotlin/io/egretlock/core/run/RunLedger.kt
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/run/RunLedger.kt
@@ -16,6 +16,7 @@
     private var status: UpstreamStatus? = null
     private var isDraining = false
     private var isCleared = false
+    private var wasCleared = false
     private var renewals = 0L
     private var clockMillis: Long? = null
     private var life: Long? = null
@@ -29,14 +30,23 @@
     val size: Int
         get() = runs.size
 
-    /** Deadline, on the upstream's clock, that the next order or renewal carries; null until its clock is known. */
-    val leaseDeadlineClockMillis: Long?
+    /** Deadline, on the upstream's clock, that the next order carries; null until its clock is known. */
+    private val leaseDeadlineClockMillis: Long?
         get() = clockMillis?.let { it + LEASE_MILLIS }
 
+    /**
+     * Deadline that the next renewal carries; null if it must not renew. A renewal extends the lease of all that runs, so
+     * none is made while runs of an earlier agent may be at work or a stop stays without effect: these then lapse.
+     */
+    fun renewalDeadlineClockMillis(nowMillis: Long): Long? {
+        val mayRenew = isCleared && runs.isNotEmpty() && runs.values.none { isStopOverdue(it, nowMillis) }
+        return if (mayRenew) leaseDeadlineClockMillis else null
+    }
+
     /** Report for the entries; null while no upstream can take or holds runs. */
     fun report(): UpstreamReport? {
         val known = status ?: return null
-        if (!isCleared) return null
+        if (!wasCleared) return null
         val used = runs.values.fold(Room.NONE) { sum, run -> sum + run.ordered.room }
         return UpstreamReport(
             upstream = "${known.life.name}@${known.life.startedAtMillis}",
@@ -170,6 +180,11 @@
                 LedgerEffect.Stop(run.id)
             }
 
+    private fun isStopOverdue(
+        run: LedgerRun,
+        nowMillis: Long,
+    ): Boolean = run.stopReason != null && nowMillis - run.stopRequestedAtMillis > STOP_OVERDUE_MILLIS
+
     private fun take(
         home: ProcessId,
         order: RunOrder,
@@ -207,6 +222,7 @@
     ): LedgerEffect? {
         if (run.stopReason != null) return null
         run.stopReason = reason
+        run.stopRequestedAtMillis = nowMillis
         run.stopSentAtMillis = nowMillis
         return LedgerEffect.Stop(run.id)
     }
@@ -229,7 +245,8 @@
         val effects = mutableListOf<LedgerEffect>()
         val unknown = active.filter { it.run !in runs }
         unknown.forEach { effects += LedgerEffect.Stop(it.run) }
-        if (unknown.isEmpty()) isCleared = true
+        isCleared = unknown.isEmpty()
+        wasCleared = wasCleared || isCleared
         active.forEach { seen -> runs[seen.run]?.let { effects += atWork(it, seen.percent, nowMillis) } }
         val activeIds = active.mapTo(HashSet()) { it.run }
         for (run in runs.values.filter { it.id !in activeIds }) {
@@ -311,6 +328,9 @@
         /** Time for an acknowledgement of a stop; an upstream on the same machine answers within a few. */
         const val STOP_RETRY_MILLIS = 100L
 
+        /** Time after which a stop without effect ends the renewals: three repetitions. */
+        const val STOP_OVERDUE_MILLIS = 350L
+
         /** Shortest time without progress that counts as a stall; upstreams report progress in whole percents. */
         const val STALL_MILLIS = 700.0
 
--- a/egretlock-core/src/main/kotlin/io/egretlock/core/run/StepJobHome.kt
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/run/StepJobHome.kt
@@ -24,8 +24,9 @@
             override fun removeEldestEntry(eldest: Map.Entry<JobId, StepJobOutcome>): Boolean = size > ANSWERS_KEPT
         }
     private val runTimes = QueueRunTimes()
-    private val placer = StepJobPlacer(rooms, runTimes, policies.order, policies.choice)
-    private val backlog = Backlog(rooms, placer)
+    private val sizes = QueueSizes()
+    private val placer = StepJobPlacer(rooms, runTimes, policies)
+    private val backlog = Backlog(rooms, placer, policies.order)
 
     /** Jobs that are not answered yet. */
     val held: Collection<HeldJob>
@@ -52,13 +53,31 @@
         if (job.id in jobs) return emptyList()
         answered[job.id]?.let { return listOf(StepJobEffect.Answer(job.id, it)) }
         val objective = queue.slackFactor * job.longestChainMillis + queue.targetMillis
+        val size = noteDemand(job, queue, nowMillis)
         val patience = patienceMillis ?: (objective * LATE_FACTOR).toLong().coerceAtLeast(SHORTEST_PATIENCE_MILLIS)
-        val held = HeldJob(job, queue, nowMillis, nowMillis + objective, nowMillis + patience)
+        val held = HeldJob(job, queue, nowMillis, nowMillis + objective, nowMillis + patience, size)
         refusal(held, nowMillis)?.let { return listOf(StepJobEffect.Answer(job.id, StepJobOutcome.GivenUp(it))) }
         jobs[job.id] = held
         return placeAndExpire(nowMillis)
     }
 
+    /** Learns from the arrival of a job; returns its size relative to its queue. */
+    private fun noteDemand(
+        job: StepJob,
+        queue: JobQueue,
+        nowMillis: Long,
+    ): Double {
+        var work = 0.0
+        var longest = 0.0
+        for (step in job.steps) {
+            val taskMillis = runTimes.expectedMillis(queue.name, step.estimatedRunMillis)
+            work += step.taskCount * step.room.cpuMillicores * taskMillis
+            longest = maxOf(longest, taskMillis)
+        }
+        policies.reserve.arrived(queue.name, work, longest, nowMillis)
+        return sizes.relative(queue.name, work)
+    }
+
     /** Ends a job that nobody waits for any more; it is not answered. */
     fun abandon(
         job: JobId,
@@ -128,7 +147,10 @@
     fun tick(nowMillis: Long): List<StepJobEffect> = placeAndExpire(nowMillis)
 
     /** Keeps what was learned of the queues named; the others are gone from the configuration. */
-    fun retainQueues(names: Set<String>) = runTimes.retain(names)
+    fun retainQueues(names: Set<String>) {
+        runTimes.retain(names)
+        sizes.retain(names)
+    }
 
     private fun taskEnded(
         held: HeldJob,
@@ -248,7 +270,8 @@
     private fun retryAfterMillis(
         held: HeldJob,
         nowMillis: Long,
-    ): Long = ceil(backlog.waitMillis(jobs.values, held, nowMillis)).toLong().coerceIn(1, LONGEST_RETRY_AFTER_MILLIS)
+    ): Long =
+        ceil(backlog.waitMillis(jobs.values - held, held, nowMillis)).toLong().coerceIn(1, LONGEST_RETRY_AFTER_MILLIS)
 
     private fun end(
         held: HeldJob,
--- a/egretlock-core/src/main/kotlin/io/egretlock/core/run/StepJobPlacer.kt
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/run/StepJobPlacer.kt
@@ -3,12 +3,11 @@
 import io.egretlock.core.job.JobId
 import io.egretlock.core.job.ProcessId
 
-/** Gives room to waiting tasks: one pass over the waiting jobs in the order of [waitingOrder]. */
+/** Gives room to waiting tasks: one pass over the waiting jobs in the order of the policies. */
 internal class StepJobPlacer(
     private val rooms: AgentRooms,
     private val runTimes: QueueRunTimes,
-    private val waitingOrder: WaitingOrder,
-    private val choice: AgentChoice,
+    private val policies: StepJobPolicies,
 ) {
     /** Orders runs for as many ready tasks of [jobs] as find room. */
     fun place(
@@ -18,10 +17,11 @@
         val waiting = jobs.filter { it.isWaiting }
         if (waiting.isEmpty()) return emptyList()
         val orders = LinkedHashMap<Pair<JobId, ProcessId>, MutableList<OrderedRun>>()
-        for (job in waitingOrder.sorted(waiting, { latestStart(it) }, nowMillis)) {
+        val inUse = inUse(jobs)
+        for (job in policies.order.sorted(waiting, { latestStart(it) }, nowMillis)) {
             val available = rooms.available(job.queue.service, nowMillis)
             if (available.isEmpty()) continue
-            placeJob(job, available, nowMillis, orders)
+            placeJob(job, available, inUse, nowMillis, orders)
         }
         return orders.map { (key, runs) -> order(jobs, key.first, key.second, runs) }
     }
@@ -39,6 +39,15 @@
         step: JobStep,
     ): Double = runTimes.expectedMillis(job.queue.name, step.estimatedRunMillis)
 
+    private fun inUse(jobs: Collection<HeldJob>): MutableMap<String, Long> {
+        val inUse = HashMap<String, Long>()
+        for (job in jobs) {
+            val running = job.tasks.filter { it.agent != null }.sumOf { it.step.room.cpuMillicores }
+            inUse.merge(job.queue.name, running, Long::plus)
+        }
+        return inUse
+    }
+
     private fun fastestSpeed(job: HeldJob): Double =
         rooms.all
             .filter { it.report.service == job.queue.service && it.report.accepting }
@@ -47,20 +56,29 @@
     private fun placeJob(
         job: HeldJob,
         available: List<AgentRoom>,
+        inUse: MutableMap<String, Long>,
         nowMillis: Long,
         orders: MutableMap<Pair<JobId, ProcessId>, MutableList<OrderedRun>>,
     ) {
         val fastest = available.maxOf { it.report.speed }
+        val queue = job.queue.name
+        val reserved = policies.reserve.reservedFor(queue, inUse, nowMillis)
         for (task in job.readyTasks()) {
             if (task.notBeforeMillis > nowMillis) continue
+            if (reserved > 0 &&
+                available.sumOf { it.free.cpuMillicores } < reserved + task.step.room.cpuMillicores
+            ) {
+                return
+            }
             val expected = expectedMillis(job, task.step)
             val demand = TaskDemand(task.step.room, expected, job.objectiveAtMillis - CALL_MILLIS - nowMillis)
             val candidates = available.filter { it.free.holds(demand.room) && it.agent !in task.failedOn }
-            val chosen = choice.choose(demand, candidates, fastest) ?: continue
+            val chosen = policies.choice.choose(demand, candidates, fastest) ?: continue
             chosen.reserve(demand.room)
             rooms.chosen(chosen.agent)
             task.ordered(chosen.agent)
             job.hasStarted = true
+            inUse.merge(queue, demand.room.cpuMillicores, Long::plus)
             val run = OrderedRun(task.id.step, task.id.index, task.number, demand.room, expected)
             orders.getOrPut(job.job.id to chosen.agent) { mutableListOf() } += run
         }
--- a/egretlock-core/src/main/kotlin/io/egretlock/core/run/WaitingOrder.kt
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/run/WaitingOrder.kt
@@ -60,3 +60,26 @@
         const val LATE = 2
     }
 }
+
+/**
+ * Jobs that have begun come first, then jobs that can still meet their objective, the smallest for its queue first, then
+ * late ones by their latest start.
+ *
+ * Answers a crest above the room, where some jobs can't be served: the largest of each queue, whose room serves several
+ * others, are the ones that wait and are turned away. Each queue keeps its share, since sizes are relative to the queue.
+ */
+class RelativeSizeOrder : WaitingOrder {
+    private val latestStartOrder = LatestStartOrder()
+
+    override fun sorted(
+        jobs: Collection<HeldJob>,
+        latestStart: (HeldJob) -> Double,
+        nowMillis: Long,
+    ): List<HeldJob> {
+        val (inTime, others) = jobs.partition { !it.hasStarted && latestStart(it) >= nowMillis }
+        val (begun, late) = others.partition { it.hasStarted }
+        return latestStartOrder.sorted(begun, latestStart, nowMillis) +
+            inTime.sortedWith(compareBy<HeldJob> { it.relativeSize }.thenBy { it.arrivedAtMillis }) +
+            latestStartOrder.sorted(late, latestStart, nowMillis)
+    }
+}
