--- a/egretlock-testing/src/test/kotlin/io/egretlock/testing/docs/EventCatalogueTest.kt
+++ b/egretlock-testing/src/test/kotlin/io/egretlock/testing/docs/EventCatalogueTest.kt
@@ -1,7 +1,10 @@
 package io.egretlock.testing.docs
 
 import io.egretlock.agent.AgentEvent
+import io.egretlock.agent.run.RunAgentEvent
 import io.egretlock.entry.EntryEvent
+import io.egretlock.entry.run.RunEntryEvent
+import io.egretlock.platform.PlatformEvent
 import io.egretlock.process.Event
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertTrue
@@ -10,7 +13,7 @@
 import kotlin.io.path.readLines
 
 class EventCatalogueTest {
-    private val events: List<Event> = EntryEvent.entries + AgentEvent.entries
+    private val events: List<Event> = EntryEvent.entries + AgentEvent.entries + RunEntryEvent.entries + RunAgentEvent.entries + PlatformEvent.entries
 
     @Test
     fun `given the events of both binaries, when compared with the catalogue, then every row is the same`() {
@@ -21,8 +24,9 @@
     @Test
     fun `given the events of a binary, when their numbers are read, then each is unique and in its range`() {
         assertEquals(events.size, events.map { it.number }.toSet().size)
-        assertTrue(EntryEvent.entries.all { it.number in 1_000..1_999 })
-        assertTrue(AgentEvent.entries.all { it.number in 2_000..2_999 })
+        assertTrue((EntryEvent.entries + RunEntryEvent.entries).all { it.number in 1_000..1_999 })
+        assertTrue((AgentEvent.entries + RunAgentEvent.entries).all { it.number in 2_000..2_999 })
+        assertTrue(PlatformEvent.entries.all { it.number in 3_000..3_999 })
     }
 
     private fun catalogue(): List<String> =
