Queue jobs while no agent is known, and hold none beyond its objective

Ruled out: the store (configuration 0.14 s after the start), connections (agents linked within 0.4 s), wrong 'failed' answers (the answers 200 that did not count were later than three times the objective). Change: with no agent known a job waits up to its objective; nothing is held longer.

--- a/egretlock-core/src/main/kotlin/io/egretlock/core/run/AgentRooms.kt
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/run/AgentRooms.kt
@@ -66,6 +66,9 @@
         probes.remove(agent)
     }
 
+    /** Whether any agent of [service] is known; just after a start none is. */
+    fun knows(service: ServiceName): Boolean = agents.values.any { it.report.service == service }
+
     /** Whether some agent of [service] could hold [room] if it were empty. */
     fun couldHold(
         service: ServiceName,
--- a/egretlock-core/src/main/kotlin/io/egretlock/core/run/Backlog.kt
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/run/Backlog.kt
@@ -13,13 +13,14 @@
     private val placer: StepJobPlacer,
     private val order: WaitingOrder,
 ) {
-    /** Expected wait of [arrival] in milliseconds; 0 while there is room. */
+    /** Expected wait of [arrival] in milliseconds; 0 while there is room, or while no agent is known that would tell. */
     fun waitMillis(
         jobs: Collection<HeldJob>,
         arrival: HeldJob,
         nowMillis: Long,
     ): Double {
         val service = arrival.queue.service
+        if (!rooms.knows(service)) return 0.0
         val waiting = jobs.filter { it.queue.service == service && it.isWaiting } + arrival
         val ahead =
             order
--- a/egretlock-core/src/main/kotlin/io/egretlock/core/run/StepJobHome.kt
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/run/StepJobHome.kt
@@ -212,7 +212,7 @@
             val features = unsupported.sorted().joinToString()
             return Verdict.NotRun(Reason.IMPOSSIBLE, "Jobs with these features are not served: $features.")
         }
-        if (rooms.all.any { it.report.service == service }) {
+        if (rooms.knows(service)) {
             val tooLarge = held.job.steps.firstOrNull { !rooms.couldHold(service, it.room) }
             if (tooLarge != null) return Verdict.NotRun(Reason.IMPOSSIBLE, "No upstream has ${tooLarge.room}.")
         }
@@ -232,16 +232,11 @@
         val crowded by lazy { jobs.values.any { !it.hasStarted && placer.latestStart(it) >= nowMillis } }
         return jobs.values.toList().flatMap { held ->
             when {
-                nowMillis >= held.giveUpAtMillis ->
-                    giveUp(
-                        held,
-                        Reason.DEADLINE,
-                        "The caller's time is over.",
-                        nowMillis,
-                    )
+                nowMillis >= held.giveUpAtMillis -> giveUp(held, Reason.DEADLINE, "The caller's time is over.", nowMillis)
                 held.hasStarted || placer.latestStart(held) >= nowMillis -> emptyList()
-                crowded -> giveUp(held, Reason.OVERLOADED, "Jobs that can be in time take all the room.", nowMillis)
-                held.objectiveAtMillis + (held.objectiveAtMillis - held.arrivedAtMillis) < nowMillis ->
+                rooms.knows(held.queue.service) && crowded ->
+                    giveUp(held, Reason.OVERLOADED, "Jobs that can be in time take all the room.", nowMillis)
+                held.objectiveAtMillis < nowMillis ->
                     giveUp(held, Reason.OVERLOADED, "No room was found in time.", nowMillis)
                 else -> emptyList()
             }
