Test the whole path against stand-ins of the users' platform

Change: a store, an upstream and the platform's settings files on loopback (egretlock-testing, platform/), both programs as processes; PlatformPathTest: a calm run, unreadable heartbeats, a killed agent while the store is down, configuration by version, a planned stop and a killed entry.

--- a/egretlock-bench/src/test/kotlin/io/egretlock/bench/steps/CrestReplayTest.kt
+++ b/egretlock-bench/src/test/kotlin/io/egretlock/bench/steps/CrestReplayTest.kt
@@ -48,7 +48,11 @@
 
     @Test
     fun `every job is answered once`() {
-        val ids = play(seed = 1) { StepJobPolicies.standard(it) }.map { it.job.job.id.value.toInt() }
+        val ids =
+            play(seed = 1) { StepJobPolicies.standard(it) }.map {
+                it.job.job.id.value
+                    .toInt()
+            }
         assertEquals(ids.indices.toList(), ids.sorted())
     }
 
--- a/egretlock-core/src/main/kotlin/io/egretlock/core/run/StepJobHome.kt
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/run/StepJobHome.kt
@@ -232,7 +232,13 @@
         val crowded by lazy { jobs.values.any { !it.hasStarted && placer.latestStart(it) >= nowMillis } }
         return jobs.values.toList().flatMap { held ->
             when {
-                nowMillis >= held.giveUpAtMillis -> giveUp(held, Reason.DEADLINE, "The caller's time is over.", nowMillis)
+                nowMillis >= held.giveUpAtMillis ->
+                    giveUp(
+                        held,
+                        Reason.DEADLINE,
+                        "The caller's time is over.",
+                        nowMillis,
+                    )
                 held.hasStarted || placer.latestStart(held) >= nowMillis -> emptyList()
                 rooms.knows(held.queue.service) && crowded ->
                     giveUp(held, Reason.OVERLOADED, "Jobs that can be in time take all the room.", nowMillis)
--- /dev/null
+++ b/egretlock-testing/src/main/kotlin/io/egretlock/testing/platform/PlatformStoreStandIn.kt
@@ -0,0 +1,124 @@
+package io.egretlock.testing.platform
+
+import io.egretlock.platform.http.HttpReply
+import io.egretlock.platform.http.HttpRequest
+import kotlinx.coroutines.delay
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.JsonPrimitive
+import kotlinx.serialization.json.buildJsonObject
+import kotlinx.serialization.json.jsonArray
+import kotlinx.serialization.json.jsonObject
+import kotlinx.serialization.json.jsonPrimitive
+import kotlinx.serialization.json.put
+import kotlinx.serialization.json.putJsonArray
+import java.util.Base64
+import java.util.concurrent.ConcurrentSkipListMap
+import java.util.concurrent.atomic.AtomicLong
+
+/**
+ * Stands in for the key-value service of the users' platform: items, ranges, watches, transactions and leases, in memory.
+ * Leases do not run out; a store that is down answers 503.
+ */
+class PlatformStoreStandIn {
+    private val items = ConcurrentSkipListMap<String, Item>()
+    private val revision = AtomicLong(1)
+    private val leases = AtomicLong(1)
+
+    /** Whether calls are refused. */
+    @Volatile
+    var isDown = false
+
+    /** Keys that are stored now. */
+    val keys: Set<String>
+        get() = items.keys
+
+    /** Writes [value] as another client of the store would. */
+    fun put(
+        key: String,
+        value: String,
+    ) {
+        items[key] = Item(Base64.getEncoder().encodeToString(value.encodeToByteArray()), revision.incrementAndGet())
+    }
+
+    /** Answers one call. */
+    suspend fun answer(request: HttpRequest): HttpReply {
+        if (isDown) return HttpReply(HTTP_UNAVAILABLE)
+        val path = request.path.substringBefore('?')
+        val query = parameters(request.path)
+        return when {
+            path == "/api/kv-range" -> HttpReply(HTTP_OK, range(query.getValue("prefix")).toString())
+            path == "/api/kv-watch" -> watch(query)
+            path == "/api/kv-txn" -> transaction(request)
+            path == "/api/kv-lease" -> HttpReply(HTTP_OK, """{"lease":${leases.incrementAndGet()},"ttl_ms":10000}""")
+            path.startsWith("/api/kv-keep/") -> HttpReply(HTTP_OK, """{"ttl_ms":10000}""")
+            else -> HttpReply(HTTP_NOT_FOUND)
+        }
+    }
+
+    private fun range(prefix: String): JsonObject =
+        buildJsonObject {
+            putJsonArray("items") { items.filterKeys { it.startsWith(prefix) }.forEach { add(row(it.key, it.value)) } }
+            put("has_more", false)
+            put("at_rev", revision.get())
+        }
+
+    private suspend fun watch(query: Map<String, String>): HttpReply {
+        val after = query.getValue("after").toLong()
+        val rounds = query.getValue("wait_ms").toLong() / POLL_MILLIS
+        repeat(rounds.toInt()) {
+            val changed = items.filter { it.key.startsWith(query.getValue("prefix")) && it.value.revision > after }
+            if (isDown) return HttpReply(HTTP_UNAVAILABLE)
+            if (changed.isNotEmpty()) return HttpReply(HTTP_OK, events(changed).toString())
+            delay(POLL_MILLIS)
+        }
+        return HttpReply(HTTP_OK, events(emptyMap()).toString())
+    }
+
+    private fun events(changed: Map<String, Item>): JsonObject =
+        buildJsonObject {
+            putJsonArray("events") { changed.forEach { add(row(it.key, it.value)) } }
+            put("at_rev", revision.get())
+        }
+
+    private fun transaction(request: HttpRequest): HttpReply {
+        val body = Json.parseToJsonElement(request.body.decodeToString()).jsonObject
+        for (set in body.getValue("set_keys").jsonArray.map { it.jsonObject }) {
+            val value = set.getValue("value").jsonPrimitive.content
+            items[set.getValue("key").jsonPrimitive.content] = Item(value, revision.incrementAndGet())
+        }
+        return HttpReply(HTTP_OK, """{"revision":${revision.get()}}""")
+    }
+
+    private fun row(
+        key: String,
+        item: Item,
+    ): JsonObject =
+        JsonObject(
+            mapOf(
+                "key" to JsonPrimitive(key),
+                "value" to JsonPrimitive(item.value),
+                "revision" to JsonPrimitive(item.revision),
+                "lease" to JsonPrimitive(0),
+            ),
+        )
+
+    private fun parameters(path: String): Map<String, String> =
+        path
+            .substringAfter('?', "")
+            .split('&')
+            .filter { '=' in it }
+            .associate { it.substringBefore('=') to java.net.URLDecoder.decode(it.substringAfter('='), Charsets.UTF_8) }
+
+    private class Item(
+        val value: String,
+        val revision: Long,
+    )
+
+    private companion object {
+        const val HTTP_OK = 200
+        const val HTTP_NOT_FOUND = 404
+        const val HTTP_UNAVAILABLE = 503
+        const val POLL_MILLIS = 10L
+    }
+}
--- /dev/null
+++ b/egretlock-testing/src/main/kotlin/io/egretlock/testing/platform/PlatformUpstreamStandIn.kt
@@ -0,0 +1,162 @@
+package io.egretlock.testing.platform
+
+import io.egretlock.platform.http.HttpReply
+import io.egretlock.platform.http.HttpRequest
+import kotlinx.coroutines.delay
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.buildJsonObject
+import kotlinx.serialization.json.jsonObject
+import kotlinx.serialization.json.jsonPrimitive
+import kotlinx.serialization.json.long
+import kotlinx.serialization.json.put
+import kotlinx.serialization.json.putJsonArray
+import java.util.concurrent.CopyOnWriteArrayList
+
+/**
+ * Stands in for an upstream of the users' platform: starts, stops, leases, fencing tokens and lists of runs.
+ *
+ * Each task takes [taskMillis]. One thread uses it.
+ */
+class PlatformUpstreamStandIn(
+    private val taskMillis: Long,
+) {
+    private val startedAt = System.currentTimeMillis()
+    private val active = LinkedHashMap<String, Run>()
+    private val ended = ArrayList<Ended>()
+    private var endNumber = 0L
+    private var fencingToken = 0L
+    private var leaseUntil = 0L
+
+    /** Tasks in the order in which they were started. */
+    val started = CopyOnWriteArrayList<String>()
+
+    /** Tasks that were at work twice at a time. */
+    val overlaps = CopyOnWriteArrayList<String>()
+
+    /** Body of a heartbeat; [sequence] rises with each. */
+    fun heartbeat(
+        service: String,
+        address: String,
+        sequence: Long,
+    ): String =
+        """{"service":"$service","address":"$address","zone":"marka","version":"v1","slots":8,"state":"ready",""" +
+            """"warmup_left_ms":0,"capacity":{"cpu":16000,"mem_mb":4096,"gpu":0},"labels":[],""" +
+            """"clock_ms":${clock()},"born":$startedAt,"seq_no":$sequence}"""
+
+    /** Answers one call. */
+    suspend fun answer(request: HttpRequest): HttpReply {
+        val body = Json.parseToJsonElement(request.body.decodeToString()).jsonObject
+        val token = body.getValue("fence_token").jsonPrimitive.long
+        advance()
+        if (token < fencingToken) return rejected("fence")
+        fencingToken = token
+        return when (request.path) {
+            "/api/run-start" -> start(body)
+            "/api/run-stop" -> stop(body)
+            "/api/hold" -> hold(body)
+            else -> HttpReply(HTTP_NOT_FOUND)
+        }
+    }
+
+    private fun start(body: JsonObject): HttpReply {
+        val task = body.getValue("task").jsonPrimitive.content
+        val number = body.getValue("run_id").jsonPrimitive.long
+        if (body.getValue("deadline_ms").jsonPrimitive.long <= clock()) return rejected("late")
+        extend(body)
+        active[task]?.let { present ->
+            if (present.number == number) return accepted()
+            overlaps += task
+        }
+        active[task] = Run(number, clock() + taskMillis)
+        started += task
+        return accepted()
+    }
+
+    private fun stop(body: JsonObject): HttpReply {
+        val task = body.getValue("task").jsonPrimitive.content
+        active.remove(task)?.let { end(task, it, "stopped") }
+        return accepted()
+    }
+
+    private suspend fun hold(body: JsonObject): HttpReply {
+        if ("deadline_ms" in body) extend(body)
+        val seen = body.getValue("last_seen").jsonPrimitive.long
+        ended.removeIf { it.sequence <= seen }
+        var waited = 0L
+        val longest = body["wait_ms"]?.jsonPrimitive?.long ?: 0
+        while (ended.isEmpty() && waited < longest) {
+            delay(POLL_MILLIS)
+            waited += POLL_MILLIS
+            advance()
+        }
+        return HttpReply(HTTP_OK, lists().toString())
+    }
+
+    private fun lists(): JsonObject =
+        buildJsonObject {
+            put("clock_ms", clock())
+            put("born", startedAt)
+            putJsonArray("active") { active.forEach { (task, run) -> add(row(task, run)) } }
+            putJsonArray("ended_runs") { ended.forEach { add(it.row()) } }
+        }
+
+    private fun row(
+        task: String,
+        run: Run,
+    ) = Json.parseToJsonElement("""["$task",${run.number},"",${percent(run)},1000]""")
+
+    private fun percent(run: Run): Long = (HUNDRED - (run.endsAt - clock()) * HUNDRED / taskMillis).coerceIn(0, HUNDRED)
+
+    /** Ends what is done, and everything when the lease has run out. */
+    private fun advance() {
+        val lapsed = clock() > leaseUntil
+        val over = active.filterValues { it.endsAt <= clock() || lapsed }
+        over.forEach { (task, run) ->
+            active.remove(task)
+            end(task, run, if (run.endsAt <= clock()) "done" else "lapsed")
+        }
+    }
+
+    private fun end(
+        task: String,
+        run: Run,
+        how: String,
+    ) {
+        ended += Ended(++endNumber, task, run.number, how)
+    }
+
+    private fun extend(body: JsonObject) {
+        val wanted = body.getValue("deadline_ms").jsonPrimitive.long
+        leaseUntil = maxOf(leaseUntil, minOf(wanted, clock() + LONGEST_LEASE_MILLIS))
+    }
+
+    private fun accepted() = HttpReply(HTTP_OK, """{"clock_ms":${clock()}}""")
+
+    private fun rejected(reason: String) = HttpReply(HTTP_CONFLICT, """{"clock_ms":${clock()},"reason":"$reason"}""")
+
+    private fun clock(): Long = System.currentTimeMillis() - startedAt
+
+    private class Run(
+        val number: Long,
+        val endsAt: Long,
+    )
+
+    private class Ended(
+        val sequence: Long,
+        val task: String,
+        val number: Long,
+        val how: String,
+    ) {
+        fun row() = Json.parseToJsonElement("""[$sequence,"$task",$number,"$how",""]""")
+    }
+
+    private companion object {
+        const val HTTP_OK = 200
+        const val HTTP_NOT_FOUND = 404
+        const val HTTP_CONFLICT = 409
+        const val POLL_MILLIS = 5L
+        const val HUNDRED = 100L
+        const val LONGEST_LEASE_MILLIS = 1_000L
+    }
+}
--- a/egretlock-testing/src/main/kotlin/io/egretlock/testing/system/ProcessLauncher.kt
+++ b/egretlock-testing/src/main/kotlin/io/egretlock/testing/system/ProcessLauncher.kt
@@ -23,10 +23,11 @@
         module: String,
         name: String,
         arguments: List<String>,
+        environment: Map<String, String> = emptyMap(),
     ): ManagedProcess {
         val archive = root.resolve("$module/target/$module-$VERSION-all.jar")
         check(archive.exists()) { "$archive is missing; package the module $module first." }
-        return launch(name, listOf("-jar", archive.toString()) + arguments)
+        return launch(name, listOf("-jar", archive.toString()) + arguments, environment)
     }
 
     /** Starts a stand-in: a subcommand of this module's main function. */
@@ -45,10 +46,12 @@
     private fun launch(
         name: String,
         arguments: List<String>,
+        environment: Map<String, String> = emptyMap(),
     ): ManagedProcess {
         val log = logDirectory.resolve("${ProcessHandle.current().pid()}-${counter.incrementAndGet()}-$name.log")
         val builder = ProcessBuilder(listOf(javaProgram()) + RUNTIME_OPTIONS + arguments)
         builder.environment().keys.removeIf { it.startsWith("EGRETLOCK_") }
+        builder.environment() += environment
         builder.redirectErrorStream(true).redirectOutput(log.toFile())
         return ManagedProcess(name, builder.start(), log).also { launched += it }
     }
--- a/egretlock-testing/src/test/kotlin/io/egretlock/testing/docs/EventCatalogueTest.kt
+++ b/egretlock-testing/src/test/kotlin/io/egretlock/testing/docs/EventCatalogueTest.kt
@@ -13,7 +13,8 @@
 import kotlin.io.path.readLines
 
 class EventCatalogueTest {
-    private val events: List<Event> = EntryEvent.entries + AgentEvent.entries + RunEntryEvent.entries + RunAgentEvent.entries + PlatformEvent.entries
+    private val events: List<Event> =
+        EntryEvent.entries + AgentEvent.entries + RunEntryEvent.entries + RunAgentEvent.entries + PlatformEvent.entries
 
     @Test
     fun `given the events of both binaries, when compared with the catalogue, then every row is the same`() {
--- /dev/null
+++ b/egretlock-testing/src/test/kotlin/io/egretlock/testing/platform/PlatformPathTest.kt
@@ -0,0 +1,102 @@
+package io.egretlock.testing.platform
+
+import io.egretlock.testing.system.ProcessSignal
+import kotlinx.coroutines.async
+import kotlinx.coroutines.runBlocking
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+
+/** Both programs as processes against stand-ins of the users' platform. */
+class PlatformPathTest {
+    private var platform = PlatformStandIn()
+
+    @AfterEach
+    fun stop() = platform.close()
+
+    private fun id(number: Int) = "%016x".format(number)
+
+    @Test
+    fun `given a calm platform, when jobs come, then each is completed and its tasks start once`() =
+        runBlocking {
+            platform.start()
+            val answers = (1..5).map { async { platform.submit(id(it), tasks = 3) } }.map { it.await() }
+            assertEquals(List(5) { """{"state":"completed"}""" }, answers.map { it?.body })
+            assertEquals(
+                15,
+                platform.upstream.started
+                    .toSet()
+                    .size,
+            )
+            assertEquals(15, platform.upstream.started.size)
+        }
+
+    @Test
+    fun `given unreadable and foreign heartbeats, when jobs come, then the upstream that holds is used`() =
+        runBlocking {
+            platform.start()
+            assertEquals(HTTP_BAD_REQUEST, platform.heartbeat("u-2", "{"))
+            assertEquals(HTTP_BAD_REQUEST, platform.heartbeat("u-2", """{"service":7}"""))
+            assertEquals(HTTP_OK, platform.submit(id(1))?.status)
+        }
+
+    @Test
+    fun `given a store that is down and an agent that was killed, when jobs come, then they are completed`() =
+        runBlocking {
+            platform.start()
+            platform.submit(id(1))
+            platform.store.isDown = true
+            platform.agent.signal(ProcessSignal.KILL)
+            platform.startAgent()
+            assertEquals("""{"state":"completed"}""", platform.submit(id(2))?.body)
+            assertEquals(emptyList<String>(), platform.upstream.overlaps)
+        }
+
+    @Test
+    fun `given a newer configuration, when it is stored, then its routes serve and removed ones do not exist`() =
+        runBlocking {
+            platform.start()
+            platform.store.put("op/config", platform.configuration(version = 7, "/other/"))
+            platform.until { platform.submit(id(1), prefix = "/other/")?.status == HTTP_OK }
+            assertEquals(HTTP_NOT_FOUND, platform.submit(id(2))?.status)
+            platform.store.put("op/config", platform.configuration(version = 6, "/check/"))
+            platform.submit(id(3), prefix = "/other/")
+            assertEquals(HTTP_NOT_FOUND, platform.submit(id(4))?.status)
+        }
+
+    @Test
+    fun `given a job at work, when the entry is asked to stop, then the job is answered and readiness ends`() {
+        platform = PlatformStandIn(taskMillis = 1_500)
+        runBlocking {
+            platform.start()
+            val job = async { platform.submit(id(1)) }
+            platform.until { platform.upstream.started.isNotEmpty() }
+            platform.entry.signal(ProcessSignal.TERM)
+            platform.until { platform.readiness() != HTTP_OK }
+            assertEquals("""{"state":"completed"}""", job.await()?.body)
+        }
+    }
+
+    @Test
+    fun `given a job at work, when its entry is killed and it comes again, then no task runs twice at a time`() {
+        platform = PlatformStandIn(taskMillis = 1_500)
+        runBlocking {
+            platform.start()
+            val lost = async { platform.submit(id(1)) }
+            platform.until { platform.upstream.started.isNotEmpty() }
+            platform.entry.signal(ProcessSignal.KILL)
+            assertEquals(null, lost.await())
+            platform.startEntry()
+            platform.until { platform.readiness() == HTTP_OK }
+            assertEquals("""{"state":"completed"}""", platform.submit(id(1))?.body)
+            assertTrue(platform.upstream.overlaps.isEmpty())
+        }
+    }
+
+    private companion object {
+        const val HTTP_OK = 200
+        const val HTTP_BAD_REQUEST = 400
+        const val HTTP_NOT_FOUND = 404
+    }
+}
