--- a/egretlock-agent/src/main/kotlin/io/egretlock/agent/run/EntryDialers.kt
+++ b/egretlock-agent/src/main/kotlin/io/egretlock/agent/run/EntryDialers.kt
@@ -12,10 +12,9 @@
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.TimeoutCancellationException
-import kotlinx.coroutines.channels.ClosedReceiveChannelException
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
-import kotlinx.coroutines.withTimeout
+import kotlinx.coroutines.withTimeoutOrNull
 import java.io.IOException
 
 private val logger = KotlinLogging.logger {}
@@ -65,25 +64,26 @@
         val link = dial(address) ?: return false
         try {
             link.send(RunAgentHello(agent, failureDomain))
-            val hello = withTimeout(TIMING.connectMillis) { link.incoming.receive() } as? RunEntryHello ?: return false
-            know(hello.entries)
-            tell(RunAgentInput.EntryConnected(hello.entry, link))
-            for (message in link.incoming) {
-                if (message is RunEntryHello) know(message.entries) else tell(RunAgentInput.EntryMessage(link, message))
-            }
-            return true
-        } catch (late: TimeoutCancellationException) {
-            logger.debug { "No hello of $address: $late" }
-            return false
-        } catch (closed: ClosedReceiveChannelException) {
-            logger.debug { "Connection to $address closed: $closed" }
-            return false
+            val hello = withTimeoutOrNull(TIMING.connectMillis) { link.incoming.receiveCatching().getOrNull() }
+            if (hello is RunEntryHello) converse(link, hello)
+            return hello is RunEntryHello
         } finally {
             tell(RunAgentInput.EntryLost(link))
             link.close()
         }
     }
 
+    private suspend fun converse(
+        link: Link,
+        hello: RunEntryHello,
+    ) {
+        know(hello.entries)
+        tell(RunAgentInput.EntryConnected(hello.entry, link))
+        for (message in link.incoming) {
+            if (message is RunEntryHello) know(message.entries) else tell(RunAgentInput.EntryMessage(link, message))
+        }
+    }
+
     private suspend fun dial(address: NodeAddress): Link? =
         try {
             Link.dial(address, selector, scope, TIMING)
--- a/egretlock-bench/src/main/kotlin/io/egretlock/bench/steps/CrestLoad.kt
+++ b/egretlock-bench/src/main/kotlin/io/egretlock/bench/steps/CrestLoad.kt
@@ -68,7 +68,7 @@
         number: Int,
     ): ArrivingJob {
         val kind = kind()
-        val tasks = max(1, (kind.width * lognormal(SPREAD)).roundToInt()).coerceAtMost(4 * kind.width)
+        val tasks = max(1, (kind.width * lognormal(SPREAD)).roundToInt()).coerceAtMost(WIDEST_FACTOR * kind.width)
         val tail = if (random.nextDouble() < TAIL_SHARE) TAIL_FACTOR else 1.0
         val base = kind.taskMillis * lognormal(SPREAD) * tail
         val taskMillis = List(tasks) { base * lognormal(UNEVEN) }
@@ -119,6 +119,9 @@
         private const val PERIOD_MILLIS = 15_000.0
         private const val PHASE = 0.0
         private const val SPREAD = 0.4
+
+        /** Widest job of a kind, as a multiple of its mean width. */
+        private const val WIDEST_FACTOR = 4
         private const val UNEVEN = 0.15
         private const val CORES_SPREAD = 0.2
         private const val ESTIMATE_ERROR = 0.4
--- a/egretlock-core/src/main/kotlin/io/egretlock/core/run/RunLedger.kt
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/run/RunLedger.kt
@@ -13,14 +13,11 @@
 class RunLedger {
     private val runs = LinkedHashMap<RunId, LedgerRun>()
     private val speedEstimate = SpeedEstimate()
-    private var status: UpstreamStatus? = null
+    private val upstream = UpstreamView()
     private var isDraining = false
     private var isCleared = false
     private var wasCleared = false
     private var renewals = 0L
-    private var clockMillis: Long? = null
-    private var life: Long? = null
-    private var answeredAtMillis = 0L
 
     /** Highest number of an end that was taken note of. */
     var lastEnd = 0L
@@ -30,22 +27,18 @@
     val size: Int
         get() = runs.size
 
-    /** Deadline, on the upstream's clock, that the next order carries; null until its clock is known. */
-    private val leaseDeadlineClockMillis: Long?
-        get() = clockMillis?.let { it + LEASE_MILLIS }
-
     /**
      * Deadline that the next renewal carries; null if it must not renew. A renewal extends the lease of all that runs, so
      * none is made while runs of an earlier agent may be at work or a stop stays without effect: these then lapse.
      */
     fun renewalDeadlineClockMillis(nowMillis: Long): Long? {
         val mayRenew = isCleared && runs.isNotEmpty() && runs.values.none { isStopOverdue(it, nowMillis) }
-        return if (mayRenew) leaseDeadlineClockMillis else null
+        return if (mayRenew) upstream.leaseDeadlineClockMillis else null
     }
 
     /** Report for the entries; null while no upstream can take or holds runs. */
     fun report(): UpstreamReport? {
-        val known = status ?: return null
+        val known = upstream.status ?: return null
         if (!wasCleared) return null
         val used = runs.values.fold(Room.NONE) { sum, run -> sum + run.ordered.room }
         return UpstreamReport(
@@ -63,11 +56,8 @@
         newStatus: UpstreamStatus,
         nowMillis: Long,
     ): List<LedgerEffect> {
-        val known = status
-        if (known != null && isOlder(newStatus, known)) return emptyList()
-        status = newStatus
-        val sameLife = known == null || known.life == newStatus.life
-        return if (sameLife) emptyList() else restarted(newStatus.life.startedAtMillis, nowMillis)
+        val isRestart = upstream.announced(newStatus)
+        return if (isRestart) restarted(newStatus.life.startedAtMillis, nowMillis) else emptyList()
     }
 
     /** The upstream at work ended as it said it would. */
@@ -75,8 +65,8 @@
         name: String,
         nowMillis: Long,
     ): List<LedgerEffect> {
-        if (status?.life?.name != name) return emptyList()
-        status = null
+        if (upstream.status?.life?.name != name) return emptyList()
+        upstream.status = null
         return endAll(RunEnd.LOST, nowMillis)
     }
 
@@ -147,11 +137,9 @@
         nowMillis: Long,
     ): List<LedgerEffect> {
         val effects = mutableListOf<LedgerEffect>()
-        if (life != null && life != answer.startedAtMillis) effects += restarted(answer.startedAtMillis, nowMillis)
-        if (stoodStill(answer)) effects += LedgerEffect.Disconnect
-        life = answer.startedAtMillis
-        clockMillis = max(answer.clockMillis, clockMillis ?: 0)
-        answeredAtMillis = nowMillis
+        if (upstream.isOtherLife(answer)) effects += restarted(answer.startedAtMillis, nowMillis)
+        if (upstream.showsStandstill(answer)) effects += LedgerEffect.Disconnect
+        upstream.answered(answer, nowMillis)
         answer.ended.sortedBy { it.sequence }.forEach { effects += ended(it, nowMillis) }
         effects += compare(renewal, answer.active, nowMillis)
         return effects
@@ -163,10 +151,10 @@
         nowMillis: Long,
     ): List<LedgerEffect> {
         if (isGone) {
-            status = null
+            upstream.status = null
             return endAll(RunEnd.LOST, nowMillis)
         }
-        val lapsed = nowMillis - answeredAtMillis > LAPSED_AFTER_MILLIS
+        val lapsed = nowMillis - upstream.answeredAtMillis > LAPSED_AFTER_MILLIS
         return if (lapsed) endAll(RunEnd.LOST, nowMillis) else emptyList()
     }
 
@@ -192,29 +180,19 @@
         nowMillis: Long,
     ): List<LedgerEffect> {
         val id = ordered.id(order.job)
-        val report = report()
-        val deadline = leaseDeadlineClockMillis
         val others = runs.values.filter { it.id.task == id.task }
-        if (report == null ||
-            deadline == null ||
-            !report.accepting ||
-            !report.free.holds(ordered.room) ||
-            others.any()
-        ) {
-            val stops =
-                others.filter { it.id.number < ordered.number }.mapNotNull {
-                    requestStop(
-                        it,
-                        RunEnd.STOPPED,
-                        nowMillis,
-                    )
-                }
+        val deadline = upstream.leaseDeadlineClockMillis
+        if (deadline == null || others.isNotEmpty() || !hasRoom(ordered.room)) {
+            val earlier = others.filter { it.id.number < ordered.number }
+            val stops = earlier.mapNotNull { requestStop(it, RunEnd.STOPPED, nowMillis) }
             return stops + LedgerEffect.Tell(home, id, RunEnd.NOT_STARTED, 0.0)
         }
         runs[id] = LedgerRun(id, home, ordered, nowMillis)
         return listOf(LedgerEffect.Start(id, order.specification, deadline))
     }
 
+    private fun hasRoom(demand: Room): Boolean = report()?.let { it.accepting && it.free.holds(demand) } ?: false
+
     private fun requestStop(
         run: LedgerRun,
         reason: RunEnd,
@@ -292,26 +270,11 @@
         startedAtMillis: Long,
         nowMillis: Long,
     ): List<LedgerEffect> {
-        if (life == startedAtMillis) return emptyList()
-        life = startedAtMillis
-        clockMillis = null
+        upstream.restarted(startedAtMillis)
         lastEnd = 0
         return endAll(RunEnd.LOST, nowMillis)
     }
 
-    /** Whether more of the upstream's time has passed since its last answer than an agent that runs lets pass. */
-    private fun stoodStill(answer: RenewalAnswer): Boolean {
-        val before = clockMillis ?: return false
-        return answer.startedAtMillis == life && answer.clockMillis - before > STANDSTILL_MILLIS
-    }
-
-    private fun isOlder(
-        newer: UpstreamStatus,
-        known: UpstreamStatus,
-    ): Boolean =
-        newer.life.startedAtMillis < known.life.startedAtMillis ||
-            (newer.life == known.life && newer.sequence <= known.sequence)
-
     companion object {
         /** Lease of everything that runs, in milliseconds of the upstream's clock: the longest that upstreams grant. */
         const val LEASE_MILLIS = 1_000L
--- a/egretlock-core/src/main/kotlin/io/egretlock/core/run/StepJobPlacer.kt
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/run/StepJobPlacer.kt
@@ -63,8 +63,7 @@
         val fastest = available.maxOf { it.report.speed }
         val queue = job.queue.name
         val reserved = policies.reserve.reservedFor(queue, inUse, nowMillis)
-        for (task in job.readyTasks()) {
-            if (task.notBeforeMillis > nowMillis) continue
+        for (task in job.readyTasks().filter { it.notBeforeMillis <= nowMillis }) {
             if (reserved > 0 &&
                 available.sumOf { it.free.cpuMillicores } < reserved + task.step.room.cpuMillicores
             ) {
@@ -73,14 +72,15 @@
             val expected = expectedMillis(job, task.step)
             val demand = TaskDemand(task.step.room, expected, job.objectiveAtMillis - CALL_MILLIS - nowMillis)
             val candidates = available.filter { it.free.holds(demand.room) && it.agent !in task.failedOn }
-            val chosen = policies.choice.choose(demand, candidates, fastest) ?: continue
-            chosen.reserve(demand.room)
-            rooms.chosen(chosen.agent)
-            task.ordered(chosen.agent)
-            job.hasStarted = true
-            inUse.merge(queue, demand.room.cpuMillicores, Long::plus)
-            val run = OrderedRun(task.id.step, task.id.index, task.number, demand.room, expected)
-            orders.getOrPut(job.job.id to chosen.agent) { mutableListOf() } += run
+            policies.choice.choose(demand, candidates, fastest)?.let { chosen ->
+                chosen.reserve(demand.room)
+                rooms.chosen(chosen.agent)
+                task.ordered(chosen.agent)
+                job.hasStarted = true
+                inUse.merge(queue, demand.room.cpuMillicores, Long::plus)
+                val run = OrderedRun(task.id.step, task.id.index, task.number, demand.room, expected)
+                orders.getOrPut(job.job.id to chosen.agent) { mutableListOf() } += run
+            }
         }
     }
 
--- a/egretlock-core/src/test/kotlin/io/egretlock/core/model/ModelChecker.kt
+++ b/egretlock-core/src/test/kotlin/io/egretlock/core/model/ModelChecker.kt
@@ -86,4 +86,5 @@
     HANDOVER("Claim", "Handover"),
     REFUSAL("Claim", "Refusal"),
     TASK_GATE("TaskGate", "TaskGate"),
+    RUN_LEASE("RunLease", "RunLease"),
 }
--- a/egretlock-core/src/test/kotlin/io/egretlock/core/model/ModelTest.kt
+++ b/egretlock-core/src/test/kotlin/io/egretlock/core/model/ModelTest.kt
@@ -32,6 +32,12 @@
         "TASK_GATE, KeepAfterAcknowledge, FALSE, StartedOnce",
         "TASK_GATE, FailOnLostAgent, FALSE, StartedOnce",
         "TASK_GATE, MatchAnswers, FALSE, AnswerIsWhole",
+        "RUN_LEASE, StopRunsOfLostHome, FALSE, OneRunAtATime",
+        "RUN_LEASE, WaitForLostAgent, FALSE, OneRunAtATime",
+        "RUN_LEASE, ClearBeforeReport, FALSE, OneRunAtATime",
+        "RUN_LEASE, RaiseToken, FALSE, OneRunAtATime",
+        "RUN_LEASE, DeadlineFromAnswer, FALSE, OneRunAtATime",
+        "RUN_LEASE, ConfirmStop, FALSE, OneRunAtATime",
     )
     fun `given a safeguard left out, when checked, then a counterexample is found`(
         model: Model,
--- a/egretlock-testing/src/main/kotlin/io/egretlock/testing/platform/PlatformStandIn.kt
+++ b/egretlock-testing/src/main/kotlin/io/egretlock/testing/platform/PlatformStandIn.kt
@@ -97,8 +97,8 @@
         version: Int,
         prefix: String,
     ): String =
-        """{"version":$version,"routes":[{"name":"q","host":"$callerAddress","prefix":"$prefix","service":"s","attempts":2,""" +
-            """"priority":0,"slack_factor":1.6,"target_completion_ms":5000}],"limits":{"max_body_bytes":262144}}"""
+        """{"version":$version,"routes":[{"name":"q","host":"$callerAddress","prefix":"$prefix","service":"s",""" +
+            """"attempts":2,"priority":0,"slack_factor":1.6,"target_completion_ms":5000}],"limits":{"max_body_bytes":262144}}"""
 
     override fun close() {
         launcher.close()
