Keep the runs of an upstream that says that it ends until it has ended

Cause, found by reading: a departure is told before the upstream ends, and the agent told homes at once that its runs were lost; they could then begin elsewhere while the old ones were still at work. Also, just after a restart of the upstream its clock is not known and every order was refused, while the report still offered room. Change: a departure only ends new runs; no room is offered before the clock is known. RunLedgerTest has both.

--- a/egretlock-agent/src/main/kotlin/io/egretlock/agent/run/RunAgent.kt
+++ b/egretlock-agent/src/main/kotlin/io/egretlock/agent/run/RunAgent.kt
@@ -9,7 +9,6 @@
 import io.egretlock.core.run.StopAnswer
 import io.egretlock.core.run.UpstreamOrders
 import io.egretlock.core.run.UpstreamReport
-import io.egretlock.core.run.UpstreamStatus
 import io.egretlock.process.event
 import io.egretlock.protocol.Link
 import io.egretlock.protocol.Message
@@ -79,8 +78,8 @@
             is RunAgentInput.EntryConnected -> connected(input)
             is RunAgentInput.EntryMessage -> received(input.link, input.message, now)
             is RunAgentInput.EntryLost -> lost(input.link, now)
-            is RunAgentInput.Announced -> announced(input.status, now)
-            is RunAgentInput.Departed -> departed(input.name, now)
+            is RunAgentInput.Announced -> perform(ledger.announced(input.status, now))
+            is RunAgentInput.Departed -> departed(input.name)
             is RunAgentInput.StartAnswered -> startAnswered(input, now)
             is RunAgentInput.StopAnswered -> stopAnswered(input)
             is RunAgentInput.Renewed -> renewed(input, now)
@@ -119,19 +118,9 @@
         if (entries.values.none { it.entry == state.entry }) perform(ledger.homeLost(state.entry, now))
     }
 
-    private fun announced(
-        status: UpstreamStatus,
-        now: Long,
-    ) {
-        perform(ledger.announced(status, now))
-    }
-
-    private fun departed(
-        name: String,
-        now: Long,
-    ) {
+    private fun departed(name: String) {
         logger.event(RunAgentEvent.UPSTREAM_CHANGED, "upstream" to name, "state" to "left")
-        perform(ledger.departed(name, now))
+        ledger.departed(name)
     }
 
     private fun startAnswered(
--- a/egretlock-core/src/main/kotlin/io/egretlock/core/run/RunLedger.kt
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/run/RunLedger.kt
@@ -47,7 +47,7 @@
             total = known.room,
             free = known.room - used,
             speed = speedEstimate.speed,
-            accepting = !isDraining && !known.isDraining,
+            accepting = !isDraining && !known.isDraining && upstream.leaseDeadlineClockMillis != null,
         )
     }
 
@@ -60,14 +60,12 @@
         return if (isRestart) restarted(newStatus.life.startedAtMillis, nowMillis) else emptyList()
     }
 
-    /** The upstream at work ended as it said it would. */
-    fun departed(
-        name: String,
-        nowMillis: Long,
-    ): List<LedgerEffect> {
-        if (upstream.status?.life?.name != name) return emptyList()
-        upstream.status = null
-        return endAll(RunEnd.LOST, nowMillis)
+    /**
+     * The upstream [name] said that it ends. It gets no more runs; those at work end when it does, which its closed port or
+     * its lease shows.
+     */
+    fun departed(name: String) {
+        if (upstream.status?.life?.name == name) upstream.status = null
     }
 
     /** Takes no more runs. */
--- a/egretlock-core/src/test/kotlin/io/egretlock/core/run/RunLedgerTest.kt
+++ b/egretlock-core/src/test/kotlin/io/egretlock/core/run/RunLedgerTest.kt
@@ -211,6 +211,25 @@
         assertEquals(RunEnd.NOT_STARTED, order().told())
     }
 
+    @Test
+    fun `runs of an upstream that says that it ends are told as lost only when it has ended`() {
+        ready()
+        order()
+        ledger.departed("u")
+        assertNull(ledger.report())
+        assertTrue(renewed(active = listOf(ActiveRun(run("a"), 50)), nowMillis = 10).isEmpty())
+        assertEquals(RunEnd.LOST, ledger.renewalFailed(isGone = true, 20).told())
+    }
+
+    @Test
+    fun `an upstream whose clock is not known yet takes no runs`() {
+        ready()
+        ledger.announced(status(startedAt = 9), 50)
+        assertEquals(false, ledger.report()?.accepting)
+        renewed(startedAt = 9, clockMillis = 3)
+        assertEquals(true, ledger.report()?.accepting)
+    }
+
     @Test
     fun `leases have run out when the upstream is silent for longer than they last`() {
         ready()
--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/run/RunEntryProcess.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/run/RunEntryProcess.kt
@@ -60,6 +60,7 @@
         }
     private val peers = EntryPeers(identity, address, keeper, selector, scope)
     private val drain = EntryDrain(::nowMillis)
+    private var isDirectoryLost = false
 
     override val configuration: QueueConfiguration?
         get() = keeper.current
@@ -158,8 +159,6 @@
         }
     }
 
-    private var isDirectoryLost = false
-
     private fun directoryFailure(failure: StoreException?) {
         if (failure != null && !isDirectoryLost) logger.event(RunEntryEvent.DIRECTORY_LOST, "cause" to failure.message)
         if (failure == null && isDirectoryLost) logger.event(RunEntryEvent.DIRECTORY_REGAINED)
