Read the settings file and dial links in one place each

Cause: both programs had the same lines for reading the settings file, and both ends of links the same for dialling; a missing settings file ended in a stack trace. Change: CommandLine.readBootSettings and Link.dialOrNull; a missing file ends the program with status 2 and a line.

--- a/egretlock-agent/src/main/kotlin/io/egretlock/agent/Main.kt
+++ b/egretlock-agent/src/main/kotlin/io/egretlock/agent/Main.kt
@@ -1,10 +1,8 @@
 package io.egretlock.agent
 
 import io.egretlock.agent.run.RunAgentProcess
-import io.egretlock.platform.BootSettings
-import io.egretlock.platform.BootSettingsException
+import io.egretlock.platform.readBootSettings
 import io.egretlock.process.CommandLine
-import io.egretlock.process.EXIT_USAGE
 import io.egretlock.process.LogSetup
 import io.egretlock.process.program
 import io.egretlock.process.serve
@@ -43,13 +41,7 @@
 
 private fun serve() {
     LogSetup.applyStructured()
-    val settings =
-        try {
-            BootSettings.read(BootSettings.path())
-        } catch (wrong: BootSettingsException) {
-            commandLine.fail(EXIT_USAGE, listOf(wrong.message.orEmpty()))
-        }
-    commandLine.serve(RunAgentProcess(settings))
+    commandLine.serve(RunAgentProcess(commandLine.readBootSettings()))
 }
 
 private fun check(flags: List<String>) {
--- a/egretlock-agent/src/main/kotlin/io/egretlock/agent/run/EntryDialers.kt
+++ b/egretlock-agent/src/main/kotlin/io/egretlock/agent/run/EntryDialers.kt
@@ -7,17 +7,11 @@
 import io.egretlock.protocol.LinkTiming
 import io.egretlock.protocol.RunAgentHello
 import io.egretlock.protocol.RunEntryHello
-import io.github.oshai.kotlinlogging.KotlinLogging
 import io.ktor.network.selector.SelectorManager
-import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
-import kotlinx.coroutines.TimeoutCancellationException
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
-import java.io.IOException
-
-private val logger = KotlinLogging.logger {}
 
 /**
  * Keeps connections to all entries that are known: those listed in the store, the seeds, and those that other entries
@@ -61,7 +55,7 @@
 
     /** Connects and stays connected; returns whether the entry answered. */
     private suspend fun connectOnce(address: NodeAddress): Boolean {
-        val link = dial(address) ?: return false
+        val link = Link.dialOrNull(address, selector, scope, TIMING) ?: return false
         try {
             link.send(RunAgentHello(agent, failureDomain))
             val hello = withTimeoutOrNull(TIMING.connectMillis) { link.incoming.receiveCatching().getOrNull() }
@@ -84,19 +78,6 @@
         }
     }
 
-    private suspend fun dial(address: NodeAddress): Link? =
-        try {
-            Link.dial(address, selector, scope, TIMING)
-        } catch (late: TimeoutCancellationException) {
-            logger.debug { "No connection to $address: $late" }
-            null
-        } catch (cancelled: CancellationException) {
-            throw cancelled
-        } catch (failure: IOException) {
-            logger.debug { "No connection to $address: $failure" }
-            null
-        }
-
     private companion object {
         /**
          * Both ends notice a silent connection within this time, so that an agent has stopped the runs of an entry that it
--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/run/EntryPeers.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/run/EntryPeers.kt
@@ -11,12 +11,9 @@
 import io.egretlock.protocol.RunEntryHello
 import io.github.oshai.kotlinlogging.KotlinLogging
 import io.ktor.network.selector.SelectorManager
-import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
-import kotlinx.coroutines.TimeoutCancellationException
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
-import java.io.IOException
 
 private val logger = KotlinLogging.logger {}
 
@@ -71,18 +68,7 @@
     }
 
     private suspend fun connectOnce(other: NodeAddress): Boolean {
-        val link =
-            try {
-                Link.dial(other, selector, scope, TIMING)
-            } catch (late: TimeoutCancellationException) {
-                logger.debug { "No connection to $other: $late" }
-                return false
-            } catch (cancelled: CancellationException) {
-                throw cancelled
-            } catch (failure: IOException) {
-                logger.debug { "No connection to $other: $failure" }
-                return false
-            }
+        val link = Link.dialOrNull(other, selector, scope, TIMING) ?: return false
         link.send(hello())
         converse(link)
         return true
--- a/egretlock-protocol/src/main/kotlin/io/egretlock/protocol/Link.kt
+++ b/egretlock-protocol/src/main/kotlin/io/egretlock/protocol/Link.kt
@@ -17,6 +17,7 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.TimeoutCancellationException
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.channels.ClosedSendChannelException
 import kotlinx.coroutines.channels.ReceiveChannel
@@ -162,6 +163,23 @@
     companion object {
         private const val NANOS_PER_MILLI = 1_000_000L
 
+        /** Opens a connection to [address]; null, with a debug line, if that fails. */
+        suspend fun dialOrNull(
+            address: NodeAddress,
+            selector: SelectorManager,
+            scope: CoroutineScope,
+            timing: LinkTiming,
+        ): Link? =
+            try {
+                dial(address, selector, scope, timing)
+            } catch (late: TimeoutCancellationException) {
+                logger.debug { "No connection to $address: $late" }
+                null
+            } catch (failure: IOException) {
+                logger.debug { "No connection to $address: $failure" }
+                null
+            }
+
         /** Opens a connection to [address]; throws [IOException] or a timeout if that fails. */
         suspend fun dial(
             address: NodeAddress,
