--- a/egretlock-testing/src/main/kotlin/io/egretlock/testing/platform/PlatformStandIn.kt
+++ b/egretlock-testing/src/main/kotlin/io/egretlock/testing/platform/PlatformStandIn.kt
@@ -25,8 +25,8 @@
 import kotlin.io.path.writeText
 
 /**
- * The users' platform on loopback: a store, one upstream with its heartbeats, and the project's two programs as processes of
- * their own, started with the settings file that the platform would write.
+ * The users' platform on loopback: a store, one upstream with its heartbeats, and the project's two programs as processes
+ * of their own, started with the settings file that the platform would write.
  */
 class PlatformStandIn(
     taskMillis: Long = 50,
@@ -98,7 +98,8 @@
         prefix: String,
     ): String =
         """{"version":$version,"routes":[{"name":"q","host":"$callerAddress","prefix":"$prefix","service":"s",""" +
-            """"attempts":2,"priority":0,"slack_factor":1.6,"target_completion_ms":60000}],"limits":{"max_body_bytes":262144}}"""
+            """"attempts":2,"priority":0,"slack_factor":1.6,"target_completion_ms":60000}],""" +
+            """"limits":{"max_body_bytes":262144}}"""
 
     override fun close() {
         launcher.close()
