Tell no run as lost when an upstream's new life answers first

After a crash the agent had dropped the upstream's status, so the heartbeat of the new life was not seen as a restart; runs began in that life, and its first answer, 200 ms later, was: all runs were told as lost and placed elsewhere while they were at work (14.160 to 14.280 s and from 14.237 s). Ruled out: a stop without effect, a lapsed lease, a lost connection (the agent's log shows LOST for all runs at one moment). Change: a restart resets clock and count of ends only; which runs are over is decided by the lists of the new life.

--- a/egretlock-agent/src/main/kotlin/io/egretlock/agent/run/RunAgent.kt
+++ b/egretlock-agent/src/main/kotlin/io/egretlock/agent/run/RunAgent.kt
@@ -78,7 +78,7 @@
             is RunAgentInput.EntryConnected -> connected(input)
             is RunAgentInput.EntryMessage -> received(input.link, input.message, now)
             is RunAgentInput.EntryLost -> lost(input.link, now)
-            is RunAgentInput.Announced -> perform(ledger.announced(input.status, now))
+            is RunAgentInput.Announced -> ledger.announced(input.status)
             is RunAgentInput.Departed -> departed(input.name)
             is RunAgentInput.StartAnswered -> startAnswered(input, now)
             is RunAgentInput.StopAnswered -> stopAnswered(input)
--- a/egretlock-core/src/main/kotlin/io/egretlock/core/run/RunLedger.kt
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/run/RunLedger.kt
@@ -51,13 +51,12 @@
         )
     }
 
-    /** Takes note of a heartbeat. Heartbeats of an earlier life, or older than the last one, are ignored. */
-    fun announced(
-        newStatus: UpstreamStatus,
-        nowMillis: Long,
-    ): List<LedgerEffect> {
-        val isRestart = upstream.announced(newStatus)
-        return if (isRestart) restarted(newStatus.life.startedAtMillis, nowMillis) else emptyList()
+    /**
+     * Takes note of a heartbeat. Heartbeats of an earlier life, or older than the last one, are ignored. What a new life
+     * means for the runs is left to its next answer: some may have begun in it already.
+     */
+    fun announced(newStatus: UpstreamStatus) {
+        if (upstream.announced(newStatus)) restarted(newStatus.life.startedAtMillis)
     }
 
     /**
@@ -135,7 +134,7 @@
         nowMillis: Long,
     ): List<LedgerEffect> {
         val effects = mutableListOf<LedgerEffect>()
-        if (upstream.isOtherLife(answer)) effects += restarted(answer.startedAtMillis, nowMillis)
+        if (upstream.isOtherLife(answer)) restarted(answer.startedAtMillis)
         if (upstream.showsStandstill(answer)) effects += LedgerEffect.Disconnect
         upstream.answered(answer, nowMillis)
         answer.ended.sortedBy { it.sequence }.forEach { effects += ended(it, nowMillis) }
@@ -264,13 +263,9 @@
         nowMillis: Long,
     ): List<LedgerEffect> = runs.values.toList().flatMap { finish(it, end, nowMillis) }
 
-    private fun restarted(
-        startedAtMillis: Long,
-        nowMillis: Long,
-    ): List<LedgerEffect> {
+    private fun restarted(startedAtMillis: Long) {
         upstream.restarted(startedAtMillis)
         lastEnd = 0
-        return endAll(RunEnd.LOST, nowMillis)
     }
 
     companion object {
--- a/egretlock-core/src/main/kotlin/io/egretlock/core/run/UpstreamView.kt
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/run/UpstreamView.kt
@@ -26,7 +26,7 @@
         val known = status
         if (known != null && isOlder(newStatus, known)) return false
         status = newStatus
-        return known != null && known.life != newStatus.life && life != newStatus.life.startedAtMillis
+        return life != null && life != newStatus.life.startedAtMillis
     }
 
     /** Whether [answer] comes from another life than the earlier ones. */
