--- a/egretlock-process/src/main/kotlin/io/egretlock/process/ServedProcess.kt
+++ b/egretlock-process/src/main/kotlin/io/egretlock/process/ServedProcess.kt
@@ -35,7 +35,7 @@
     } catch (inUse: JavalinBindException) {
         fail(EXIT_FAILURE, listOf("An address can't be bound: ${inUse.message}"))
     }
-    reloadOnHangup(process)
+    reloadOn("HUP", process)
     Runtime.getRuntime().addShutdownHook(
         Thread {
             runBlocking { process.stop() }
@@ -46,9 +46,12 @@
     exitProcess(0)
 }
 
-/** Has [process] look at its settings again at each SIGHUP. */
-internal fun reloadOnHangup(process: ServedProcess) {
-    Signal.handle(Signal("HUP")) { process.reload() }
+/** Has [process] look at its settings again at each signal of the name [signal], such as `HUP`. */
+internal fun reloadOn(
+    signal: String,
+    process: ServedProcess,
+) {
+    Signal.handle(Signal(signal)) { process.reload() }
 }
 
 /**
