Answer each swap of the store's stand-in with its own revision

The stand-in read the revision of a transaction's answer after the swap, outside its lock. A roster write in between gave the entry a revision above that of the settings' key, so that every later edit named a revision that the store never had.

Ruled out: an edit of an earlier case that lands late (its swap names an old revision and fails); a spent budget of calls (503, not 412); a lagging entry (an accepted edit is in force there before it is answered).

Change: the swap returns the revision of its own change, which the answer names, as etcd does. The race test of the editor uses the same value.

--- a/egretlock-testing/src/main/kotlin/io/egretlock/testing/store/StoreHistory.kt
+++ b/egretlock-testing/src/main/kotlin/io/egretlock/testing/store/StoreHistory.kt
@@ -26,16 +26,18 @@
                 .sortedBy { it.key }
         }
 
-    /** Stores [value], or deletes the key if null, unless its last change is not [expectedRevision]; true if stored. */
+    /**
+     * Stores [value], or deletes the key if null, and returns the revision of that change; null, with nothing stored, if
+     * the key's last change is not [expectedRevision].
+     */
     fun compareAndSwap(
         key: String,
         expectedRevision: Long,
         value: String?,
-    ): Boolean =
+    ): Long? =
         synchronized(monitor) {
             val present = read(key, until = null).firstOrNull()?.revision ?: 0
-            if (present == expectedRevision) append(key, value)
-            present == expectedRevision
+            if (present == expectedRevision) put(key, value) else null
         }
 
     /** Stores [value], or deletes the key if null, whatever is there. Returns the new revision. */
--- a/egretlock-testing/src/main/kotlin/io/egretlock/testing/store/StoreStandIn.kt
+++ b/egretlock-testing/src/main/kotlin/io/egretlock/testing/store/StoreStandIn.kt
@@ -6,6 +6,7 @@
 import io.egretlock.store.etcd.KeyValue
 import io.egretlock.store.etcd.RangeRequest
 import io.egretlock.store.etcd.RangeResponse
+import io.egretlock.store.etcd.RequestOperation
 import io.egretlock.store.etcd.ResponseHeader
 import io.egretlock.store.etcd.ResponseOperation
 import io.egretlock.store.etcd.TransactionRequest
@@ -116,11 +117,17 @@
                 expectedRevision = comparison.modRevision,
                 value = EtcdMessages.decode(put.value),
             )
-        val responses = if (stored) emptyList() else request.failure.map { ResponseOperation(it.range?.let(::rangeOf)) }
-        val response = TransactionResponse(ResponseHeader(history.revision), stored, responses)
+        val response =
+            TransactionResponse(
+                header = ResponseHeader(stored ?: history.revision),
+                succeeded = stored != null,
+                responses = if (stored == null) request.failure.map(::rangeOf) else emptyList(),
+            )
         if (losesAnswer()) breakConnection(context) else answer(context, EtcdMessages.json.encodeToString(response))
     }
 
+    private fun rangeOf(operation: RequestOperation) = ResponseOperation(operation.range?.let(::rangeOf))
+
     private fun losesAnswer(): Boolean {
         val before = currentFaults.getAndUpdate { it.copy(lostAnswers = (it.lostAnswers - 1).coerceAtLeast(0)) }
         return before.lostAnswers > 0
--- a/egretlock-testing/src/test/kotlin/io/egretlock/testing/store/EtcdStoreTest.kt
+++ b/egretlock-testing/src/test/kotlin/io/egretlock/testing/store/EtcdStoreTest.kt
@@ -17,6 +17,9 @@
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertThrows
 import org.junit.jupiter.api.Test
+import java.util.concurrent.atomic.AtomicBoolean
+import java.util.concurrent.locks.LockSupport
+import kotlin.concurrent.thread
 
 class EtcdStoreTest {
     private val standIn = StoreStandIn(NodeAddress("127.0.0.1", 0))
@@ -43,6 +46,27 @@
             assertEquals(SwapResult.Conflict(StoreEntry("/a/x", "two", 3)), store.compareAndSwap("/a/x", 2, "three"))
         }
 
+    @Test
+    fun `given another writer, when a key is swapped again and again, then each answer names the key's own revision`() {
+        val writing = AtomicBoolean(true)
+        val writer =
+            thread {
+                while (writing.get()) {
+                    standIn.history.put("/other", "value")
+                    LockSupport.parkNanos(BETWEEN_WRITES_NANOS)
+                }
+            }
+        within {
+            var revision = 0L
+            repeat(SWAPS) {
+                revision = (store.compareAndSwap("/a/x", revision, "value") as SwapResult.Stored).revision
+                assertEquals(standIn.history.read("/a/x", until = null).single().revision, revision)
+            }
+        }
+        writing.set(false)
+        writer.join()
+    }
+
     @Test
     fun `given a key that is absent, when swapped at a revision, then nothing is stored`() =
         within {
@@ -121,5 +145,7 @@
     private companion object {
         const val CALL_MILLIS = 1_000L
         const val DEADLINE_MILLIS = 20_000L
+        const val SWAPS = 500
+        const val BETWEEN_WRITES_NANOS = 20_000L
     }
 }
--- a/egretlock-testing/src/test/kotlin/io/egretlock/testing/store/SettingsEditorRaceTest.kt
+++ b/egretlock-testing/src/test/kotlin/io/egretlock/testing/store/SettingsEditorRaceTest.kt
@@ -111,12 +111,11 @@
             val loss = random.nextInt(FAULT_ONE_IN)
             if (loss == LOST_REQUEST) throw StoreOutcomeUnknownException(key)
             if (loss == LATE_REQUEST) late += { write() }
-            val stored = loss != LATE_REQUEST && write()
-            val revision = history.revision
+            val stored = if (loss == LATE_REQUEST) null else write()
             yield()
             if (loss == LATE_REQUEST || loss == LOST_ANSWER) throw StoreOutcomeUnknownException(key)
             val present = history.read(key, until = null).firstOrNull()
-            return if (stored) SwapResult.Stored(revision) else SwapResult.Conflict(present)
+            return if (stored == null) SwapResult.Conflict(present) else SwapResult.Stored(stored)
         }
 
         override fun watch(
