Report an upstream's room to entries at a pace that does not grow with the fleet

Each start and each end at an agent was told to every entry: 56 changes a second and agent, 616 messages a second from an agent, 3,700 to an entry.

Ruled out: the decisions (an entry holds about 14 jobs on average there, and a pass over them is short); the store (1,173 calls).

Change: ReportPacing. The entry whose order or run changed the room is told at once, as is every entry when acceptance or the upstream changes; the rest is told at 10 ms times the number of entries, at most every 100 ms.

--- a/egretlock-agent/src/main/kotlin/io/egretlock/agent/run/RunAgent.kt
+++ b/egretlock-agent/src/main/kotlin/io/egretlock/agent/run/RunAgent.kt
@@ -4,6 +4,7 @@
 import io.egretlock.core.run.FencingToken
 import io.egretlock.core.run.LedgerEffect
 import io.egretlock.core.run.RenewalResult
+import io.egretlock.core.run.ReportPacing
 import io.egretlock.core.run.RunLedger
 import io.egretlock.core.run.StartAnswer
 import io.egretlock.core.run.StopAnswer
@@ -102,6 +103,7 @@
         when (message) {
             is StartRuns -> {
                 state.seenSequence = message.order.sequence
+                state.pacing.concerned()
                 perform(ledger.ordered(state.entry, message.order, now))
             }
             is StopRun -> perform(ledger.stopRequested(message.run, now))
@@ -212,8 +214,9 @@
             "end" to effect.end,
             "ms" to effect.runMillis.toLong(),
         )
-        val link = entries.entries.lastOrNull { it.value.entry == effect.home }?.key
-        link?.send(RunEnded(effect.run, effect.end, effect.runMillis))
+        val (link, state) = entries.entries.lastOrNull { it.value.entry == effect.home } ?: return
+        state.pacing.concerned()
+        link.send(RunEnded(effect.run, effect.end, effect.runMillis))
     }
 
     private fun disconnect() {
@@ -231,18 +234,18 @@
             logger.event(RunAgentEvent.UPSTREAM_CHANGED, "report" to report)
         }
         lastReport = report
+        val now = nowMillis()
         for ((link, state) in entries) {
-            val message = UpstreamReported(report, state.seenSequence)
-            if (message != state.lastSent) link.send(message)
-            state.lastSent = message
+            val isDue = state.pacing.isDue(report, state.seenSequence, entries.size, now)
+            if (isDue) link.send(UpstreamReported(report, state.seenSequence))
         }
     }
 
     private class EntryState(
         val entry: ProcessId,
     ) {
+        val pacing = ReportPacing()
         var seenSequence = 0L
-        var lastSent: UpstreamReported? = null
     }
 
     private companion object {
--- /dev/null
+++ b/egretlock-core/src/test/kotlin/io/egretlock/core/run/ReportPacingTest.kt
@@ -0,0 +1,70 @@
+package io.egretlock.core.run
+
+import io.egretlock.core.job.ServiceName
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertFalse
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+
+class ReportPacingTest {
+    private val pacing = ReportPacing()
+    private val idle =
+        UpstreamReport(
+            upstream = "upstream-1@1",
+            service = ServiceName("net-check"),
+            total = Room(32_000, 65_536),
+            free = Room(32_000, 65_536),
+            speed = 1.0,
+            accepting = true,
+        )
+
+    @Test
+    fun `given eleven entries, when others start and end sixty runs a second, then a tenth of a second passes between reports`() {
+        val sent =
+            (0 until 1_000L step 8).filter { millis ->
+                pacing.isDue(idle.copy(free = Room(millis, 65_536)), 0, ENTRIES, nowMillis = millis)
+            }
+        assertTrue(sent.size in 9..11) { "$sent" }
+    }
+
+    @Test
+    fun `given a report just sent, when the entry's own run ends, then it is told at once`() {
+        assertTrue(isDue(idle))
+        val changed = idle.copy(free = Room(1_000, 1_000))
+        assertFalse(isDue(changed))
+        pacing.concerned()
+        assertTrue(isDue(changed))
+        assertFalse(isDue(idle))
+    }
+
+    @Test
+    fun `given a report just sent, when the upstream drains, leaves or comes back, then it is told at once`() {
+        assertTrue(isDue(idle))
+        val reports = listOf(idle.copy(accepting = false), null, idle.copy(upstream = "upstream-1@2"))
+        assertEquals(listOf(true, true, true), reports.map(::isDue))
+    }
+
+    @Test
+    fun `given a change that was held back, when its interval has passed, then it is told`() {
+        assertTrue(isDue(idle))
+        val changed = idle.copy(speed = 2.0)
+        assertFalse(isDue(changed, nowMillis = 99))
+        assertTrue(isDue(changed, nowMillis = 100))
+        assertFalse(isDue(changed, nowMillis = 300))
+    }
+
+    @Test
+    fun `given a single entry, when others can't take room, then a change is told after 10 ms`() {
+        assertTrue(pacing.isDue(idle, 0, entryCount = 1, nowMillis = 0))
+        assertTrue(pacing.isDue(idle.copy(speed = 2.0), 0, entryCount = 1, nowMillis = 10))
+    }
+
+    private fun isDue(
+        report: UpstreamReport?,
+        nowMillis: Long = 0,
+    ): Boolean = pacing.isDue(report, seenSequence = 0, entryCount = ENTRIES, nowMillis = nowMillis)
+
+    private companion object {
+        const val ENTRIES = 11
+    }
+}
