Admit jobs after a start by the room that connected agents will report

In between the forecast divided the backlog by the room of those that had reported: waits of 234 to 942 ms against a slack of 57 to 408 ms, and 99 refusals before 39.75 s.

Ruled out: no room at all (free room was reported a moment later); the configuration (in force at 38.826 s).

Change: agents that connected within two seconds and have not reported count like the mean of the others. Lost ones don't.

Tests: StepJobHomeTest (burst of four jobs: none refused while nine agents are expected, the fourth refused once they are not), AgentRoomsTest.

--- a/egretlock-core/src/main/kotlin/io/egretlock/core/run/AgentRooms.kt
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/run/AgentRooms.kt
@@ -13,6 +13,7 @@
 ) {
     private val agents = LinkedHashMap<ProcessId, AgentRoom>()
     private val probes = HashSet<ProcessId>()
+    private val connectedAtMillis = HashMap<ProcessId, Long>()
 
     /** All agents that have reported an upstream. */
     val all: Collection<AgentRoom>
@@ -21,6 +22,23 @@
     /** The agent with this identity; null if it is not connected or has no upstream. */
     operator fun get(agent: ProcessId): AgentRoom? = agents[agent]
 
+    /** Notes that [agent] has connected and will report its upstream, if it has one. */
+    fun expect(
+        agent: ProcessId,
+        nowMillis: Long,
+    ) {
+        if (agent !in agents) connectedAtMillis[agent] = nowMillis
+    }
+
+    /**
+     * Factor from the room that is reported to the room that will be once the agents that connected a moment ago have
+     * reported; these are taken to be like the others.
+     */
+    fun growth(nowMillis: Long): Double {
+        val expected = connectedAtMillis.values.count { nowMillis - it < REPORT_MILLIS }
+        return if (agents.isEmpty()) 1.0 else 1.0 + expected.toDouble() / agents.size
+    }
+
     /** Takes note of a report; [seenSequence] is the last order that it covers. */
     fun report(
         agent: ProcessId,
@@ -29,12 +47,19 @@
         seenSequence: Long,
     ) {
         guard.add(agent)
+        connectedAtMillis.remove(agent)
         val room = agents.getOrPut(agent) { AgentRoom(agent, failureDomain, report) }
         room.update(report, seenSequence)
     }
 
-    /** Forgets an agent whose connection or upstream is gone. */
+    /** Forgets an agent whose connection is gone. */
     fun remove(agent: ProcessId) {
+        withdraw(agent)
+        connectedAtMillis.remove(agent)
+    }
+
+    /** The agent has no upstream, or none yet. */
+    fun withdraw(agent: ProcessId) {
         agents.remove(agent)
         probes.remove(agent)
         guard.forget(agent)
@@ -74,4 +99,9 @@
         service: ServiceName,
         room: Room,
     ): Boolean = agents.values.any { it.report.service == service && it.report.total.holds(room) }
+
+    private companion object {
+        /** Time in which an agent learns of its upstream: the interval of heartbeats, 1500 ms, and the calls after one. */
+        const val REPORT_MILLIS = 2_000L
+    }
 }
--- a/egretlock-core/src/main/kotlin/io/egretlock/core/run/Backlog.kt
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/run/Backlog.kt
@@ -28,7 +28,8 @@
                 .takeWhile { it !== arrival }
                 .sumOf { job -> job.tasks.filter { it.isWaiting }.sumOf { work(job, it) } }
         if (ahead == 0.0) return 0.0
-        val rate = rooms.all.filter { it.report.service == service }.sumOf { rateOf(it) } * share(jobs, service)
+        val reported = rooms.all.filter { it.report.service == service }.sumOf { rateOf(it) }
+        val rate = reported * rooms.growth(nowMillis) * share(jobs, service)
         return if (rate > 0) ahead / rate else Double.MAX_VALUE
     }
 
--- a/egretlock-core/src/main/kotlin/io/egretlock/core/run/StepJobHome.kt
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/run/StepJobHome.kt
@@ -97,6 +97,12 @@
         return end(held, StepJobOutcome.GivenUp(verdict)) + placeAndExpire(nowMillis)
     }
 
+    /** An agent has connected; its upstream's room counts in forecasts although it is not reported yet. */
+    fun agentConnected(
+        agent: ProcessId,
+        nowMillis: Long,
+    ) = rooms.expect(agent, nowMillis)
+
     /** Takes note of an agent's report. */
     fun agentReported(
         agent: ProcessId,
--- /dev/null
+++ b/egretlock-core/src/test/kotlin/io/egretlock/core/run/AgentRoomsTest.kt
@@ -0,0 +1,29 @@
+package io.egretlock.core.run
+
+import io.egretlock.core.run.RunFixtures.agent
+import io.egretlock.core.run.RunFixtures.ownDomain
+import io.egretlock.core.run.RunFixtures.report
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Test
+
+class AgentRoomsTest {
+    private val rooms = AgentRooms()
+
+    @Test
+    fun `an agent that connected and knows no upstream yet is expected to report one`() {
+        rooms.report(agent("first"), ownDomain, report(cores = 8), seenSequence = 0)
+        rooms.expect(agent("second"), nowMillis = 0)
+        rooms.withdraw(agent("second"))
+        assertEquals(2.0, rooms.growth(nowMillis = 100))
+    }
+
+    @Test
+    fun `an agent whose upstream has left is not expected to report another`() {
+        listOf("first", "second").forEach { name ->
+            rooms.expect(agent(name), nowMillis = 0)
+            rooms.report(agent(name), ownDomain, report(cores = 8), seenSequence = 0)
+        }
+        rooms.withdraw(agent("second"))
+        assertEquals(1.0, rooms.growth(nowMillis = 100))
+    }
+}
--- a/egretlock-core/src/test/kotlin/io/egretlock/core/run/StepJobHomeTest.kt
+++ b/egretlock-core/src/test/kotlin/io/egretlock/core/run/StepJobHomeTest.kt
@@ -62,6 +62,34 @@
         assertTrue(effects.starts().isEmpty())
     }
 
+    @Test
+    fun `after a start, jobs are admitted by the room that connected agents are about to report`() {
+        connectWithoutReport(nowMillis = 0)
+        assertEquals(emptyList<JobId>(), refusedOfBurst(nowMillis = 500))
+    }
+
+    @Test
+    fun `agents that report no upstream for long count for nothing`() {
+        connectWithoutReport(nowMillis = 0)
+        assertEquals(listOf(JobId("d")), refusedOfBurst(nowMillis = 2_500))
+    }
+
+    @Test
+    fun `agents that are lost before they report count for nothing`() {
+        connectWithoutReport(nowMillis = 0).forEach { home.agentLost(it, 100) }
+        assertEquals(listOf(JobId("d")), refusedOfBurst(nowMillis = 500))
+    }
+
+    private fun connectWithoutReport(nowMillis: Long): List<ProcessId> =
+        List(9) { agent("other-$it") }.onEach { home.agentConnected(it, nowMillis) }
+
+    /** Four jobs for the room of one, each of which waits at most 108 ms and takes 100 ms. */
+    private fun refusedOfBurst(nowMillis: Long): List<JobId> {
+        connect(first, 2, nowMillis)
+        val effects = listOf("a", "b", "c", "d").flatMap { home.submit(job(it, tasks = 2), queue(), 1_500, nowMillis) }
+        return effects.answers().map { it.job }
+    }
+
     @Test
     fun `a job that is held is joined`() {
         connect(first, 10)
--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/run/RunEntry.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/run/RunEntry.kt
@@ -105,7 +105,7 @@
             is RunEntryInput.Submitted -> submitted(input, now)
             is RunEntryInput.CallerLeft -> callerLeft(input, now)
             is RunEntryInput.Cancelled -> perform(home.cancel(input.job, now))
-            is RunEntryInput.AgentConnected -> connected(input)
+            is RunEntryInput.AgentConnected -> connected(input, now)
             is RunEntryInput.AgentMessage -> received(input, now)
             is RunEntryInput.AgentLost -> lost(input.link, now)
             is RunEntryInput.QueuesChanged -> home.retainQueues(input.names)
@@ -144,7 +144,11 @@
         perform(home.abandon(input.job, now))
     }
 
-    private fun connected(input: RunEntryInput.AgentConnected) {
+    private fun connected(
+        input: RunEntryInput.AgentConnected,
+        now: Long,
+    ) {
+        home.agentConnected(input.hello.agent, now)
         agents[input.link] = input.hello
         links[input.hello.agent] = input.link
         logger.event(RunEntryEvent.AGENT_CONNECTED, "agent" to input.hello.agent)
@@ -173,7 +177,7 @@
             logger.event(RunEntryEvent.AGENT_CHANGED, "agent" to hello.agent, "report" to report)
         }
         if (report == null) {
-            rooms.remove(hello.agent)
+            rooms.withdraw(hello.agent)
         } else {
             perform(home.agentReported(hello.agent, hello.failureDomain, report, message.seenSequence, now))
         }
