Replay eleven entries over sixty-two upstreams, and list what it finds

All entries choose the same fullest upstream, from reports up to 100 ms old; a refused task is placed again before the report that shows the room taken.

--- a/egretlock-bench/src/main/kotlin/io/egretlock/bench/steps/CrestLoad.kt
+++ b/egretlock-bench/src/main/kotlin/io/egretlock/bench/steps/CrestLoad.kt
@@ -37,11 +37,13 @@
  *
  * @param perSecond mean jobs a second.
  * @param burst factor on the rate between [BURST_FROM_MILLIS] and [BURST_UNTIL_MILLIS].
+ * @param entries number of entries; of three, one gets the largest share, as a balancer's hash may have it.
  */
 internal class CrestLoad(
     seed: Long,
     private val perSecond: Double,
     private val burst: Double,
+    private val entries: Int = UNEVEN_ENTRIES,
 ) {
     private val random = Random(seed)
 
@@ -57,6 +59,13 @@
         }
     }
 
+    private fun entry(): Int =
+        when {
+            entries != UNEVEN_ENTRIES -> random.nextInt(entries)
+            random.nextDouble() < LARGEST_SHARE -> 0
+            else -> 1 + random.nextInt(2)
+        }
+
     private fun rate(nowMillis: Double): Double {
         val wave = 1 + SWING * sin(2 * PI * (nowMillis / PERIOD_MILLIS + PHASE))
         val factor = if (nowMillis in BURST_FROM_MILLIS..BURST_UNTIL_MILLIS) burst else 1.0
@@ -78,10 +87,9 @@
         val step = JobStep(tasks, room, estimate)
         val work = taskMillis.sum() * cores / (kind.taskMillis * kind.width * kind.coresPerTask)
         val worth = kind.worth * (WORTH_FIXED + (1 - WORTH_FIXED) * work).coerceAtMost(WORTH_LIMIT)
-        val entry = if (random.nextDouble() < LARGEST_SHARE) 0 else 1 + random.nextInt(2)
         return ArrivingJob(
             arrivalMillis,
-            entry,
+            entry(),
             kind.queue,
             StepJob(JobId("$number"), "", listOf(step)),
             taskMillis,
@@ -134,6 +142,9 @@
         /** The balancer's share of the entry that gets most. */
         private const val LARGEST_SHARE = 0.4
 
+        /** Number of entries among which the balancer's shares differ. */
+        private const val UNEVEN_ENTRIES = 3
+
         private fun queue(
             name: String,
             priority: Int,
--- a/egretlock-bench/src/main/kotlin/io/egretlock/bench/steps/StepSimulation.kt
+++ b/egretlock-bench/src/main/kotlin/io/egretlock/bench/steps/StepSimulation.kt
@@ -5,6 +5,7 @@
 import io.egretlock.core.job.ProcessId
 import io.egretlock.core.run.AgentRooms
 import io.egretlock.core.run.OrderedRun
+import io.egretlock.core.run.ReportPacing
 import io.egretlock.core.run.Room
 import io.egretlock.core.run.RunEnd
 import io.egretlock.core.run.RunId
@@ -60,15 +61,19 @@
     private val nowMillis: Double
         get() = events.nowMillis
 
+    /** Starts that were ordered. */
+    var orderedStarts = 0
+        private set
+
     /** Starts that found no room at the agent. */
     var refusedStarts = 0
         private set
 
     /** Plays [jobs] to the end. */
     fun run(jobs: List<ArrivingJob>): List<JobResult> {
-        agents.forEach { it.report() }
-        jobs.forEach { job -> at(job.arrivalMillis) { arrive(job) } }
         val endMillis = jobs.last().arrivalMillis + SETTLE_MILLIS
+        agents.forEach { it.reportUntil(endMillis) }
+        jobs.forEach { job -> at(job.arrivalMillis) { arrive(job) } }
         homes.indices.forEach { tick(it, endMillis) }
         events.run()
         return results
@@ -124,12 +129,14 @@
         private val speed = SpeedEstimate()
         private val seen = HashMap<Int, Long>()
         private val running = HashMap<RunId, Room>()
+        private val pacing = homes.map { ReportPacing() }
 
         fun order(
             home: Int,
             order: RunOrder,
         ) {
             seen[home] = order.sequence
+            pacing[home].concerned()
             order.runs.forEach { start(home, order, it) }
             report()
         }
@@ -140,12 +147,20 @@
             report()
         }
 
-        fun report() {
+        /** Reports what pacing has held back, as the agent's tick does. */
+        fun reportUntil(endMillis: Double) {
+            report()
+            if (nowMillis < endMillis) at(nowMillis + AGENT_TICK_MILLIS) { reportUntil(endMillis) }
+        }
+
+        private fun report() {
             val report = UpstreamReport(upstream.name, CrestLoad.SERVICE, total, free, speed.speed, accepting = true)
             homes.forEachIndexed { home, decisions ->
                 val covered = seen[home] ?: 0
-                at(nowMillis + DELAY_MILLIS) {
-                    perform(home, decisions.agentReported(id, domain, report, covered, nowMillis.toLong()))
+                if (pacing[home].isDue(report, covered, homes.size, nowMillis.toLong())) {
+                    at(nowMillis + DELAY_MILLIS) {
+                        perform(home, decisions.agentReported(id, domain, report, covered, nowMillis.toLong()))
+                    }
                 }
             }
         }
@@ -156,6 +171,7 @@
             run: OrderedRun,
         ) {
             val runId = run.id(order.job)
+            orderedStarts++
             if (!free.holds(run.room)) {
                 refusedStarts++
                 tell(home, runId, RunEnd.NOT_STARTED, 0.0)
@@ -176,6 +192,7 @@
             val room = running.remove(runId) ?: return
             free += room
             speed.record(run.expectedMillis, millis)
+            pacing[home].concerned()
             tell(home, runId, RunEnd.SUCCEEDED, millis)
             report()
         }
@@ -194,6 +211,7 @@
         private const val DELAY_MILLIS = 1.5
         private const val CLIENT_MILLIS = 6.0
         private const val TICK_MILLIS = 10.0
+        private const val AGENT_TICK_MILLIS = 50.0
         private const val SETTLE_MILLIS = 10_000.0
         private const val PATIENCE_FACTOR = 6.0
         private const val MILLICORES = 1_000L
@@ -202,9 +220,23 @@
         private fun domain(index: Int) = FailureDomain("domain-${index % DOMAINS}")
 
         /** Eleven upstreams of 64 or 96 cores, of which every fourth is of an older and slower generation. */
-        val FLEET: List<SimulatedUpstream> =
-            List(11) { index ->
-                SimulatedUpstream("u$index", if (index % 3 == 2) 96 else 64, if (index % 4 == 0) 0.55 else 1.2)
+        val FLEET: List<SimulatedUpstream> = fleet(count = 11)
+
+        /** [count] upstreams like those of [FLEET]. */
+        fun fleet(count: Int): List<SimulatedUpstream> =
+            List(count) { index ->
+                SimulatedUpstream(
+                    name = "u$index",
+                    cores = if (index % LARGE_EVERY == LARGE_EVERY - 1) LARGE_CORES else USUAL_CORES,
+                    speed = if (index % OLD_EVERY == 0) OLD_SPEED else NEW_SPEED,
+                )
             }
+
+        private const val LARGE_EVERY = 3
+        private const val LARGE_CORES = 96
+        private const val USUAL_CORES = 64
+        private const val OLD_EVERY = 4
+        private const val OLD_SPEED = 0.55
+        private const val NEW_SPEED = 1.2
     }
 }
--- /dev/null
+++ b/egretlock-bench/src/test/kotlin/io/egretlock/bench/steps/ManyEntriesReplayTest.kt
@@ -0,0 +1,48 @@
+package io.egretlock.bench.steps
+
+import io.egretlock.core.run.StepJobPolicies
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+
+/** Replays the demand of the booking service on its grown fleet: eleven entries that share sixty-two upstreams. */
+class ManyEntriesReplayTest {
+    @Test
+    fun `on a calm day under a hundredth of the starts finds no room`() {
+        val simulation = simulation()
+        simulation.run(jobs(perSecond = CALM_PER_SECOND, burst = 1.0))
+        val refused = simulation.refusedStarts.toDouble() / simulation.orderedStarts
+        assertTrue(refused < REFUSED_SHARE, "${simulation.refusedStarts} of ${simulation.orderedStarts}")
+    }
+
+    @Test
+    fun `on a calm day jobs are in time once the upstreams' speeds are known`() {
+        val settled =
+            simulation()
+                .run(jobs(perSecond = CALM_PER_SECOND, burst = 1.0))
+                .filter { it.job.arrivalMillis > LEARNING_MILLIS }
+        val share = settled.sumOf { it.earned } / settled.sumOf { it.job.worth }
+        assertTrue(share >= CALM_SHARE, "$share")
+    }
+
+    private fun simulation() =
+        StepSimulation({ StepJobPolicies.standard(it) }, StepSimulation.fleet(UPSTREAMS), entries = ENTRIES)
+
+    private fun jobs(
+        perSecond: Double,
+        burst: Double,
+    ) = CrestLoad(seed = 1, perSecond, burst, ENTRIES).jobs(DURATION_MILLIS)
+
+    private companion object {
+        const val ENTRIES = 11
+        const val UPSTREAMS = 62
+        const val DURATION_MILLIS = 8_000.0
+        const val LEARNING_MILLIS = 3_000.0
+
+        /** A little over half of the room on average, as on the grown site. */
+        const val CALM_PER_SECOND = 420.0
+
+        /** Targets of the issues: rejected starts under 1 %, and a worth of 0.90. */
+        const val REFUSED_SHARE = 0.01
+        const val CALM_SHARE = 0.9
+    }
+}
--- a/egretlock-core/src/test/kotlin/io/egretlock/core/run/ReportPacingTest.kt
+++ b/egretlock-core/src/test/kotlin/io/egretlock/core/run/ReportPacingTest.kt
@@ -19,7 +19,7 @@
         )
 
     @Test
-    fun `given eleven entries, when others start and end sixty runs a second, then a tenth of a second passes between reports`() {
+    fun `given eleven entries, when others start runs all the time, then 100 ms pass between reports`() {
         val sent =
             (0 until 1_000L step 8).filter { millis ->
                 pacing.isDue(idle.copy(free = Room(millis, 65_536)), 0, ENTRIES, nowMillis = millis)
--- a/egretlock-testing/src/test/kotlin/io/egretlock/testing/store/EtcdStoreTest.kt
+++ b/egretlock-testing/src/test/kotlin/io/egretlock/testing/store/EtcdStoreTest.kt
@@ -60,7 +60,8 @@
             var revision = 0L
             repeat(SWAPS) {
                 revision = (store.compareAndSwap("/a/x", revision, "value") as SwapResult.Stored).revision
-                assertEquals(standIn.history.read("/a/x", until = null).single().revision, revision)
+                val present = standIn.history.read("/a/x", until = null).single()
+                assertEquals(present.revision, revision)
             }
         }
         writing.set(false)
