Lose no input of an entry to a tick in the same instant

Cause: an entry waited for its next input with a timeout of 10 ms around the inbox. A timeout that comes true in the instant of an arrival cancels the receiver after it has taken the input, and the input is gone: a job, a report, the end of a run or the hello of an agent. The logs of one red run show all five jobs held and no line for the agent's connection, which the agent's own log has.

Ruled out: paced reports, heartbeats and admission, as the entry that hung never saw the agent at all; the loss of a link that has been replaced (below), as no link was lost in the red runs that were read.

Change: the tick is a choice beside the inbox. RunEntryTest holds jobs that arrive in the instants of ticks, in virtual time. The wait of PlatformStandIn ends by time and not by attempts.

A second cause of the same symptom, found by reading and shown by a test: the end of an old link of an agent that had connected anew was ignored, so runs ordered over it were waited for until the caller's time was over. A new link of an agent is now the loss of its earlier one; the agent, which opens one only after it has given up the other, has stopped these runs. RunEntryTest: no second order within 10 s before, run number 2 after.

Conclusion: any loaded entry could lose requests, reports and ends.

--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/run/RunEntry.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/run/RunEntry.kt
@@ -21,8 +21,10 @@
 import io.github.oshai.kotlinlogging.KotlinLogging
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.ExperimentalCoroutinesApi
 import kotlinx.coroutines.channels.Channel
-import kotlinx.coroutines.withTimeoutOrNull
+import kotlinx.coroutines.selects.onTimeout
+import kotlinx.coroutines.selects.select
 
 private val logger = KotlinLogging.logger {}
 
@@ -91,12 +93,15 @@
         }
     }
 
-    /** Ticks come only while jobs are held, so that an idle entry uses no processor. */
+    /**
+     * Ticks come only while jobs are held, so that an idle entry uses no processor. They are a choice beside the inbox
+     * and not a timeout around it: a timeout in the instant of an arrival takes the input from the inbox and drops it.
+     */
+    @OptIn(ExperimentalCoroutinesApi::class)
     private suspend fun nextInput(): RunEntryInput =
-        if (home.held.isEmpty()) {
-            inbox.receive()
-        } else {
-            withTimeoutOrNull(TICK_MILLIS) { inbox.receive() } ?: RunEntryInput.Tick
+        select {
+            inbox.onReceive { it }
+            if (home.held.isNotEmpty()) onTimeout(TICK_MILLIS) { RunEntryInput.Tick }
         }
 
     private fun handle(input: RunEntryInput) {
@@ -144,14 +149,23 @@
         perform(home.abandon(input.job, now))
     }
 
+    /**
+     * An agent opens a connection only when it has given up the one before, and has stopped the runs ordered over it. The
+     * loss of that one may not have been noticed here, where it can be silent for longer.
+     */
     private fun connected(
         input: RunEntryInput.AgentConnected,
         now: Long,
     ) {
-        home.agentConnected(input.hello.agent, now)
+        val agent = input.hello.agent
+        links[agent]?.let { earlier ->
+            earlier.close()
+            lost(earlier, now)
+        }
+        home.agentConnected(agent, now)
         agents[input.link] = input.hello
-        links[input.hello.agent] = input.link
-        logger.event(RunEntryEvent.AGENT_CONNECTED, "agent" to input.hello.agent)
+        links[agent] = input.link
+        logger.event(RunEntryEvent.AGENT_CONNECTED, "agent" to agent)
     }
 
     private fun received(
@@ -197,7 +211,6 @@
         now: Long,
     ) {
         val hello = agents.remove(link) ?: return
-        if (links[hello.agent] !== link) return
         links.remove(hello.agent)
         logger.event(RunEntryEvent.AGENT_LOST, "agent" to hello.agent)
         perform(home.agentLost(hello.agent, now))
@@ -245,7 +258,7 @@
 
     companion object {
         /** Longest time between two looks at the jobs that wait. */
-        private const val TICK_MILLIS = 10L
+        const val TICK_MILLIS = 10L
 
         /** Refusal of requests that come while the entry is about to end. */
         val LEAVING =
--- /dev/null
+++ b/egretlock-entry/src/test/kotlin/io/egretlock/entry/run/RunEntryTest.kt
@@ -0,0 +1,111 @@
+package io.egretlock.entry.run
+
+import io.egretlock.core.job.FailureDomain
+import io.egretlock.core.job.JobId
+import io.egretlock.core.job.ProcessId
+import io.egretlock.core.job.ServiceName
+import io.egretlock.core.roster.NodeAddress
+import io.egretlock.core.run.JobQueue
+import io.egretlock.core.run.JobStep
+import io.egretlock.core.run.Room
+import io.egretlock.core.run.StepJob
+import io.egretlock.core.run.StepJobHome
+import io.egretlock.core.run.StepJobPolicies
+import io.egretlock.core.run.UpstreamReport
+import io.egretlock.protocol.Link
+import io.egretlock.protocol.LinkListener
+import io.egretlock.protocol.RunAgentHello
+import io.egretlock.protocol.StartRuns
+import io.egretlock.protocol.UpstreamReported
+import io.ktor.network.selector.SelectorManager
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.ExperimentalCoroutinesApi
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.test.currentTime
+import kotlinx.coroutines.test.runTest
+import kotlinx.coroutines.withTimeout
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Test
+import java.util.concurrent.atomic.AtomicLong
+
+@OptIn(ExperimentalCoroutinesApi::class)
+class RunEntryTest {
+    private val queue = JobQueue("checks", ServiceName("s"), 0, attempts = 2, slackFactor = 1.6, targetMillis = 1_000)
+
+    private fun submitted(id: String): RunEntryInput {
+        val job = StepJob(JobId(id), "specification", listOf(JobStep(1, Room(1_000, 64), estimatedRunMillis = 50)))
+        return RunEntryInput.Submitted(job, queue, patienceMillis = null, CompletableDeferred())
+    }
+
+    @Test
+    fun `given a job that waits, when others come in the instant of a tick, then each is held`() =
+        runTest {
+            val entry = RunEntry(StepJobPolicies.standard(DOMAIN), { currentTime }, { 1_700_000_000 })
+            repeat(INSTANTS) { instant ->
+                launch {
+                    delay(instant * RunEntry.TICK_MILLIS)
+                    entry.tell(submitted("job-$instant"))
+                }
+            }
+            backgroundScope.launch { entry.run() }
+            delay(INSTANTS * RunEntry.TICK_MILLIS)
+            assertEquals(INSTANTS, entry.heldCount)
+        }
+
+    @Test
+    fun `given an agent that connects anew, when the loss of its old connection goes unnoticed, then its runs start again`() =
+        runBlocking {
+            val now = AtomicLong()
+            val entry = RunEntry(StepJobPolicies.standard(DOMAIN), now::get, { 1_700_000_000 })
+            withAgentLinks(entry) { connect ->
+                val old = connect()
+                entry.tell(submitted("a"))
+                assertEquals(listOf(1), old.nextNumbers())
+                val new = connect()
+                entry.tell(submitted("b"))
+                assertEquals(listOf(1), new.nextNumbers())
+                now.addAndGet(StepJobHome.RUNS_END_MILLIS)
+                assertEquals(listOf(2), new.nextNumbers())
+            }
+        }
+
+    /** Passes [body] a function that connects one agent to [entry] and returns the agent's end. */
+    private suspend fun withAgentLinks(
+        entry: RunEntry,
+        body: suspend (suspend () -> Link) -> Unit,
+    ) = coroutineScope {
+        SelectorManager(Dispatchers.IO).use { selector ->
+            val accepted = Channel<Link>(Channel.UNLIMITED)
+            val scope = CoroutineScope(coroutineContext + Job())
+            val listener = LinkListener.bind(NodeAddress("127.0.0.1", 0), selector, scope) { accepted.send(it) }
+            scope.launch { entry.run() }
+            withTimeout(DEADLINE_MILLIS) {
+                body {
+                    val near = Link.dial(NodeAddress("127.0.0.1", listener.port), selector, scope)
+                    val far = accepted.receive()
+                    entry.tell(RunEntryInput.AgentConnected(RunAgentHello(ProcessId("agent", 1), DOMAIN), far))
+                    entry.tell(RunEntryInput.AgentMessage(far, UpstreamReported(REPORT, 0)))
+                    near
+                }
+            }
+            scope.cancel()
+        }
+    }
+
+    private suspend fun Link.nextNumbers(): List<Int> = (incoming.receive() as StartRuns).order.runs.map { it.number }
+
+    private companion object {
+        const val INSTANTS = 10
+        const val DEADLINE_MILLIS = 10_000L
+        val DOMAIN = FailureDomain("marka")
+        val REPORT = UpstreamReport("u", ServiceName("s"), Room(8_000, 512), Room(8_000, 512), 1.0, accepting = true)
+    }
+}
--- a/egretlock-testing/src/main/kotlin/io/egretlock/testing/platform/PlatformStandIn.kt
+++ b/egretlock-testing/src/main/kotlin/io/egretlock/testing/platform/PlatformStandIn.kt
@@ -19,6 +19,7 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withContext
+import kotlinx.coroutines.withTimeoutOrNull
 import java.nio.file.Path
 import java.util.concurrent.Executors
 import kotlin.io.path.createDirectories
@@ -139,13 +140,10 @@
             }
         }
 
-    /** Waits until [condition] holds. */
+    /** Waits until [condition] holds; throws after [CALL_MILLIS], also while a call that it makes is under way. */
     suspend fun until(condition: suspend () -> Boolean) {
-        repeat(ATTEMPTS) {
-            if (condition()) return
-            delay(BEAT_MILLIS)
-        }
-        error("The condition did not come true.")
+        val held = withTimeoutOrNull(CALL_MILLIS) { while (!condition()) delay(BEAT_MILLIS) }
+        checkNotNull(held) { "The condition did not come true within $CALL_MILLIS ms." }
     }
 
     private fun boot(
@@ -172,6 +170,5 @@
         const val HTTP_OK = 200
         const val BEAT_MILLIS = 100L
         const val CALL_MILLIS = 60_000L
-        const val ATTEMPTS = 300
     }
 }
