Doubt a connection only after two heartbeats without confirmation

Cause: since heartbeats carry the confirmation of the other end's, instead of a reply to each, a connection in order shows up to two intervals without a confirmation. Agents put a connection in doubt after half of the silence, which with the standard timing is two intervals, and replaced it.

Ruled out: a blocked thread of the agent (other cases of the class passed in the same processes), and the platform's path, whose agents replace no connection in doubt.

Change: LinkSilence keeps when the other end was heard and when it last confirmed; doubt allows a heartbeat's interval more for the second.

--- a/egretlock-agent/src/main/kotlin/io/egretlock/agent/EntryDialer.kt
+++ b/egretlock-agent/src/main/kotlin/io/egretlock/agent/EntryDialer.kt
@@ -55,8 +55,7 @@
         var current = first
         while (current.pump.isActive) {
             withTimeoutOrNull(timing.heartbeatMillis) { current.pump.join() }
-            val inDoubt = current.connection.link.silentMillis() > timing.silenceMillis / 2
-            if (current.pump.isActive && inDoubt) current = replace(current)
+            if (current.pump.isActive && current.connection.link.isDoubtful) current = replace(current)
         }
     }
 
--- a/egretlock-protocol/src/main/kotlin/io/egretlock/protocol/Link.kt
+++ b/egretlock-protocol/src/main/kotlin/io/egretlock/protocol/Link.kt
@@ -60,10 +60,8 @@
 ) {
     private val outgoing = Channel<Message>(Channel.UNLIMITED)
     private val received = Channel<Message>(Channel.UNLIMITED)
-    private val lastHeardNanos = AtomicLong(System.nanoTime())
-    private val lastConfirmedNanos = AtomicLong(System.nanoTime())
+    private val silence = LinkSilence(timing)
     private val heard = AtomicLong()
-    private val confirmed = AtomicLong()
     private val lifetime = SupervisorJob(scope.coroutineContext[Job])
 
     /** Messages of the other end, without heartbeats. */
@@ -106,7 +104,7 @@
             val length = reader.readInt()
             if (length !in 1..timing.largestFrameBytes) throw IOException("Frame of $length bytes is not allowed.")
             val message = MessageCodec.decode(reader.readByteArray(length))
-            lastHeardNanos.set(System.nanoTime())
+            silence.heard()
             deliver(message)
         }
     }
@@ -120,7 +118,7 @@
 
     private fun heartbeat(message: Heartbeat) {
         heard.set(message.sequence)
-        if (message.heard > confirmed.getAndSet(message.heard)) lastConfirmedNanos.set(System.nanoTime())
+        silence.confirmed(message.heard)
     }
 
     private suspend fun write(writer: ByteWriteChannel) {
@@ -150,25 +148,18 @@
 
     private suspend fun watch() {
         var sequence = 0L
-        while (silentMillis() <= timing.silenceMillis) {
+        while (!silence.isOver) {
             send(Heartbeat(++sequence, heard.get()))
             delay(timing.heartbeatMillis)
         }
-        logger.debug { "Connection silent for ${silentMillis()} ms." }
+        logger.debug { "Connection silent for ${silence.millis()} ms." }
     }
 
-    /**
-     * Time, in milliseconds, since the other end was last heard or last confirmed that it hears this end, whichever is
-     * longer ago.
-     */
-    fun silentMillis(): Long {
-        val nowNanos = System.nanoTime()
-        return maxOf(nowNanos - lastHeardNanos.get(), nowNanos - lastConfirmedNanos.get()) / NANOS_PER_MILLI
-    }
+    /** Whether half of the time has passed after which a silent connection is given up. */
+    val isDoubtful: Boolean
+        get() = silence.isDoubtful
 
     companion object {
-        private const val NANOS_PER_MILLI = 1_000_000L
-
         /** Opens a connection to [address]; null, with a debug line, if that fails. */
         suspend fun dialOrNull(
             address: NodeAddress,
