Add a fault soak of the platform's programs

Change: bin/soak starts three entries and four agents against the stand-in of the platform, and plays kills, pauses, planned stops, store outages and new configurations in series and overlapping, while callers submit jobs and submit them again where their fate is unknown. Checked from what callers and upstreams see: no two runs of a task at once on any upstream, no upstream above its room, no run of a job refused as not run, an answer in time, 20 jobs in a row completed within 8 s of the last fault. The stand-in takes several entries and agents; SoakTest is one short run with a seed, whose times only tell a lost request from a slow one.

Not played yet: silent and slow channels, restarts of upstreams, clock jumps.

--- a/egretlock-testing/src/main/kotlin/io/egretlock/testing/platform/PlatformStandIn.kt
+++ b/egretlock-testing/src/main/kotlin/io/egretlock/testing/platform/PlatformStandIn.kt
@@ -6,7 +6,6 @@
 import io.egretlock.platform.http.HttpCaller
 import io.egretlock.platform.http.HttpServer
 import io.egretlock.testing.system.FreePorts
-import io.egretlock.testing.system.ManagedProcess
 import io.egretlock.testing.system.ProcessLauncher
 import io.egretlock.testing.system.freeAddress
 import io.ktor.http.HttpMethod
@@ -20,17 +19,20 @@
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withContext
 import kotlinx.coroutines.withTimeoutOrNull
-import java.nio.file.Path
 import java.util.concurrent.Executors
-import kotlin.io.path.createDirectories
-import kotlin.io.path.writeText
 
 /**
- * The users' platform on loopback: a store, one upstream with its heartbeats, and the project's two programs as processes
- * of their own, started with the settings file that the platform would write.
+ * The users' platform on loopback: a store, entries, and agents with their upstreams. The project's two programs are
+ * processes of their own, started with the settings file that the platform would write.
+ *
+ * Each entry has a loopback address of its own, since all instances use the same internal port.
  */
 class PlatformStandIn(
     taskMillis: Long = 50,
+    entryCount: Int = 1,
+    agentCount: Int = 1,
+    cores: Int = 16,
+    private val targetMillis: Long = 60_000,
 ) : AutoCloseable {
     private val executor = Executors.newSingleThreadExecutor()
     private val dispatcher = executor.asCoroutineDispatcher()
@@ -38,40 +40,28 @@
     private val selector = SelectorManager(Dispatchers.IO)
     private val launcher = ProcessLauncher()
     private val storeAddress = freeAddress()
-    private val upstreamAddress = freeAddress()
-    private val heartbeatAddress = freeAddress()
-    private val callerAddress = freeAddress()
-    private val readinessAddress = freeAddress()
     private val internalPort = FreePorts.next()
 
+    /** What all upstreams run. */
+    val watch = RunWatch()
     val store = PlatformStoreStandIn()
-    val upstream = PlatformUpstreamStandIn(taskMillis)
-    lateinit var entry: ManagedProcess
-        private set
-    lateinit var agent: ManagedProcess
-        private set
+    val entries = List(entryCount) { entry(it) }
+    val agents = List(agentCount) { agent(it, PlatformUpstreamStandIn(taskMillis, cores, watch)) }
 
-    /** Starts everything and waits until the entry is ready and the agent has cleared the upstream. */
+    /** All instances. */
+    val nodes: List<PlatformNode>
+        get() = entries.map { it.node } + agents.map { it.node }
+
+    /** Starts everything and waits until the entries are ready. */
     suspend fun start() {
         store.put("op/config", configuration(version = 1, "/check/"))
         HttpServer.bind(storeAddress.host, storeAddress.port, selector, scope, store::answer)
-        HttpServer.bind(upstreamAddress.host, upstreamAddress.port, selector, scope, upstream::answer)
-        startEntry()
-        startAgent()
-        scope.launch { beat() }
-        until { get(readinessAddress, "/api/readiness") == HTTP_OK }
-    }
-
-    /** Starts the entry, again if it ran before. */
-    fun startEntry() {
-        val lines = listOf("bind_addrs.frontend=$callerAddress", "bind_addrs.readiness=$readinessAddress")
-        entry = launcher.binary("egretlock-entry", "entry", listOf("serve"), boot("entry", lines))
-    }
-
-    /** Starts the agent, again if it ran before. */
-    fun startAgent() {
-        val lines = listOf("bind_addrs.control=$heartbeatAddress", "app=$upstreamAddress")
-        agent = launcher.binary("egretlock-agent", "agent", listOf("serve"), boot("agent", lines))
+        for (agent in agents) {
+            HttpServer.bind(agent.address.host, agent.address.port, selector, scope, agent.upstream::answer)
+        }
+        nodes.forEach { it.start() }
+        agents.indices.forEach { scope.launch { beat(it) } }
+        entries.forEach { entry -> until { readiness(entry) == HTTP_OK } }
     }
 
     /** Submits a job of [tasks] tasks and returns the status and body of the answer; null if there is none. */
@@ -79,28 +69,38 @@
         id: String,
         tasks: Int = 2,
         prefix: String = "/check/",
+        entry: PlatformEntry = entries.first(),
     ): HttpAnswer? {
         val step = """{"count":$tasks,"cpu":1000,"mem_mb":64,"est_runtime_ms":50}"""
-        return call(callerAddress, HttpMethod.Post, "$prefix$id", """{"spec":"s","best_effort":true,"steps":[$step]}""")
+        return call(entry.callers, HttpMethod.Post, "$prefix$id", """{"spec":"s","best_effort":true,"steps":[$step]}""")
     }
 
     /** Sends [body] to the agent as a heartbeat of the upstream [name]; returns the status. */
     suspend fun heartbeat(
         name: String,
         body: String,
-    ): Int? = call(heartbeatAddress, HttpMethod.Post, "/api/Instances.Heartbeat/$name", body)?.status
+        agent: PlatformAgent = agents.first(),
+    ): Int? = call(agent.heartbeats, HttpMethod.Post, "/api/Instances.Heartbeat/$name", body)?.status
 
     /** Status of the entry's readiness; null if it does not answer. */
-    suspend fun readiness(): Int? = get(readinessAddress, "/api/readiness")
+    suspend fun readiness(entry: PlatformEntry = entries.first()): Int? =
+        call(entry.readiness, HttpMethod.Get, "/api/readiness", "")?.status
 
-    /** The document of a configuration whose only queue has [prefix]. */
+    /** The document of a configuration whose only queue has [prefix] on all entries. */
     fun configuration(
         version: Int,
         prefix: String,
+    ): String {
+        val routes = entries.joinToString(",") { route(it, prefix) }
+        return """{"version":$version,"routes":[$routes],"limits":{"max_body_bytes":262144}}"""
+    }
+
+    private fun route(
+        entry: PlatformEntry,
+        prefix: String,
     ): String =
-        """{"version":$version,"routes":[{"name":"q","host":"$callerAddress","prefix":"$prefix","service":"s",""" +
-            """"attempts":2,"priority":0,"slack_factor":1.6,"target_completion_ms":60000}],""" +
-            """"limits":{"max_body_bytes":262144}}"""
+        """{"name":"q","host":"${entry.callers}","prefix":"$prefix","service":"s","attempts":2,"priority":0,""" +
+            """"slack_factor":1.6,"target_completion_ms":$targetMillis}"""
 
     override fun close() {
         launcher.close()
@@ -109,19 +109,50 @@
         executor.shutdown()
     }
 
-    private suspend fun beat() {
+    private fun entry(index: Int): PlatformEntry {
+        val callers = freeAddress()
+        val readiness = freeAddress()
+        val lines = listOf("bind_addrs.frontend=$callers", "bind_addrs.readiness=$readiness", "ip=${entryHost(index)}")
+        return PlatformEntry(node("entry-$index", "egretlock-entry", lines), callers, readiness)
+    }
+
+    private fun agent(
+        index: Int,
+        upstream: PlatformUpstreamStandIn,
+    ): PlatformAgent {
+        val address = freeAddress()
+        val heartbeats = freeAddress()
+        val lines = listOf("bind_addrs.control=$heartbeats", "app=$address", "ip=127.0.0.1")
+        return PlatformAgent(node("agent-$index", "egretlock-agent", lines), upstream, address, heartbeats)
+    }
+
+    private fun node(
+        name: String,
+        module: String,
+        lines: List<String>,
+    ): PlatformNode {
+        val common =
+            listOf(
+                "zone=marka",
+                "internal_ports=$internalPort,$internalPort",
+                "seeds=${entryHost(0)}:$internalPort",
+                "platform.address=$storeAddress",
+                "bounds.grace_s=6",
+            )
+        return PlatformNode(name, module, launcher, common + lines)
+    }
+
+    private fun entryHost(index: Int) = "127.0.0.${index + 1}"
+
+    private suspend fun beat(index: Int) {
+        val agent = agents[index]
         var sequence = 0L
         while (true) {
-            heartbeat("u-1", upstream.heartbeat("s", "$upstreamAddress", ++sequence))
+            heartbeat("u-$index", agent.upstream.heartbeat("s", "${agent.address}", ++sequence), agent)
             delay(BEAT_MILLIS)
         }
     }
 
-    private suspend fun get(
-        address: NodeAddress,
-        path: String,
-    ): Int? = call(address, HttpMethod.Get, path, "")?.status
-
     private suspend fun call(
         address: NodeAddress,
         method: HttpMethod,
@@ -146,26 +177,6 @@
         checkNotNull(held) { "The condition did not come true within $CALL_MILLIS ms." }
     }
 
-    private fun boot(
-        name: String,
-        lines: List<String>,
-    ): Map<String, String> {
-        val directory = Path.of("target/platform").toAbsolutePath().createDirectories()
-        val file = directory.resolve("${ProcessHandle.current().pid()}-$internalPort-$name.conf")
-        val common =
-            listOf(
-                "node_name=$name",
-                "ip=127.0.0.1",
-                "zone=marka",
-                "internal_ports=$internalPort,$internalPort",
-                "seeds=127.0.0.1:$internalPort",
-                "platform.address=$storeAddress",
-                "bounds.grace_s=6",
-            )
-        file.writeText((common + lines).joinToString("\n"))
-        return mapOf("EGRETLOCK_BOOT" to file.toString())
-    }
-
     private companion object {
         const val HTTP_OK = 200
         const val BEAT_MILLIS = 100L
--- a/egretlock-testing/src/main/kotlin/io/egretlock/testing/platform/PlatformUpstreamStandIn.kt
+++ b/egretlock-testing/src/main/kotlin/io/egretlock/testing/platform/PlatformUpstreamStandIn.kt
@@ -11,15 +11,16 @@
 import kotlinx.serialization.json.long
 import kotlinx.serialization.json.put
 import kotlinx.serialization.json.putJsonArray
-import java.util.concurrent.CopyOnWriteArrayList
 
 /**
  * Stands in for an upstream of the users' platform: starts, stops, leases, fencing tokens and lists of runs.
  *
- * Each task takes [taskMillis]. One thread uses it.
+ * Each task takes [taskMillis] and a core of [cores]. One thread uses it, and the others of the same [watch].
  */
 class PlatformUpstreamStandIn(
     private val taskMillis: Long,
+    private val cores: Int = DEFAULT_CORES,
+    private val watch: RunWatch = RunWatch(),
 ) {
     private val startedAt = System.currentTimeMillis()
     private val active = LinkedHashMap<String, Run>()
@@ -28,11 +29,9 @@
     private var fencingToken = 0L
     private var leaseUntil = 0L
 
-    /** Tasks in the order in which they were started. */
-    val started = CopyOnWriteArrayList<String>()
-
-    /** Tasks that were at work twice at a time. */
-    val overlaps = CopyOnWriteArrayList<String>()
+    init {
+        watch.watch(this)
+    }
 
     /** Body of a heartbeat; [sequence] rises with each. */
     fun heartbeat(
@@ -41,7 +40,7 @@
         sequence: Long,
     ): String =
         """{"service":"$service","address":"$address","zone":"marka","version":"v1","slots":8,"state":"ready",""" +
-            """"warmup_left_ms":0,"capacity":{"cpu":16000,"mem_mb":4096,"gpu":0},"labels":[],""" +
+            """"warmup_left_ms":0,"capacity":{"cpu":${cores * MILLICORES},"mem_mb":4096,"gpu":0},"labels":[],""" +
             """"clock_ms":${clock()},"born":$startedAt,"seq_no":$sequence}"""
 
     /** Answers one call. */
@@ -64,15 +63,19 @@
         val number = body.getValue("run_id").jsonPrimitive.long
         if (body.getValue("deadline_ms").jsonPrimitive.long <= clock()) return rejected("late")
         extend(body)
-        active[task]?.let { present ->
-            if (present.number == number) return accepted()
-            overlaps += task
-        }
+        if (active[task]?.number == number) return accepted()
+        watch.started(task)
         active[task] = Run(number, clock() + taskMillis)
-        started += task
+        if (active.size > cores) watch.crowded += task
         return accepted()
     }
 
+    /** Whether a run of [task] is at work now. */
+    internal fun isAtWork(task: String): Boolean {
+        advance()
+        return task in active
+    }
+
     private fun stop(body: JsonObject): HttpReply {
         val task = body.getValue("task").jsonPrimitive.content
         active.remove(task)?.let { end(task, it, "stopped") }
@@ -152,6 +155,8 @@
     }
 
     private companion object {
+        const val DEFAULT_CORES = 16
+        const val MILLICORES = 1_000
         const val HTTP_OK = 200
         const val HTTP_NOT_FOUND = 404
         const val HTTP_CONFLICT = 409
--- /dev/null
+++ b/egretlock-testing/src/main/kotlin/io/egretlock/testing/soak/SoakCommand.kt
@@ -0,0 +1,61 @@
+package io.egretlock.testing.soak
+
+import io.egretlock.process.FlagParser
+import io.egretlock.process.Setting
+import io.egretlock.process.SettingReader
+import kotlin.system.exitProcess
+
+/** The subcommand `soak`: plays runs with consecutive seeds until its time is over; fails if one breaks a promise. */
+object SoakCommand {
+    private const val EXIT_USAGE = 2
+    private const val EXIT_BROKEN = 1
+    private const val LARGEST_SEED = 1_000_000_000L
+    private const val LONGEST_MINUTES = 600L
+    private const val LARGEST_COUNT = 100L
+    private const val MILLIS_PER_SECOND = 1_000L
+    private const val NANOS_PER_MINUTE = 60_000_000_000L
+
+    private val seed = Setting("seed", "Seed of the first run; the next ones follow it.", "1")
+    private val minutes = Setting("minutes", "Time in which runs begin, in minutes; 0 plays one.", "0")
+    private val seconds = Setting("seconds", "Time in which faults begin in each run, in seconds.", "20")
+    private val entries = Setting("entries", "Entries of the system.", "3")
+    private val agents = Setting("agents", "Agents of the system, each with an upstream.", "4")
+
+    /** Runs to the end and ends the process. */
+    fun run(arguments: List<String>) {
+        val flags = FlagParser("soak", listOf(seed, minutes, seconds, entries, agents)).parse(arguments)
+        val reader = SettingReader(flags, System.getenv())
+        val first =
+            SoakSettings(
+                seed = reader.number(seed, 0..LARGEST_SEED),
+                faultMillis = reader.number(seconds, 1..LONGEST_MINUTES).toLong() * MILLIS_PER_SECOND,
+                entryCount = reader.number(entries, 1..LARGEST_COUNT).toInt(),
+                agentCount = reader.number(agents, 1..LARGEST_COUNT).toInt(),
+            )
+        val endAt = System.nanoTime() + reader.number(minutes, 0..LONGEST_MINUTES).toLong() * NANOS_PER_MINUTE
+        if (reader.faults.isNotEmpty()) {
+            reader.faults.forEach { System.err.println(it) }
+            exitProcess(EXIT_USAGE)
+        }
+        var next = first
+        var broken = 0
+        do {
+            val report = Soak(next).play()
+            print(report)
+            if (report.violations.isNotEmpty()) broken++
+            next = next.copy(seed = next.seed + 1)
+        } while (System.nanoTime() < endAt)
+        println("soak: ${next.seed - first.seed} runs, $broken broken")
+        exitProcess(if (broken == 0) 0 else EXIT_BROKEN)
+    }
+
+    private fun print(report: SoakReport) {
+        val violations = report.violations
+        val faultCount = report.faults.size
+        val counts = "$faultCount faults, answers ${report.answers}, ${violations.size} violations"
+        println("soak: seed ${report.settings.seed}, $counts")
+        if (violations.isEmpty()) return
+        report.faults.forEach { println("soak:   fault $it") }
+        violations.forEach { println("soak:   BROKEN $it") }
+    }
+}
--- a/egretlock-testing/src/test/kotlin/io/egretlock/testing/platform/PlatformPathTest.kt
+++ b/egretlock-testing/src/test/kotlin/io/egretlock/testing/platform/PlatformPathTest.kt
@@ -25,11 +25,11 @@
             assertEquals(List(5) { """{"state":"completed"}""" }, answers.map { it?.body })
             assertEquals(
                 15,
-                platform.upstream.started
+                platform.watch.started
                     .toSet()
                     .size,
             )
-            assertEquals(15, platform.upstream.started.size)
+            assertEquals(15, platform.watch.started.size)
         }
 
     @Test
@@ -47,10 +47,16 @@
             platform.start()
             platform.submit(id(1))
             platform.store.isDown = true
-            platform.agent.signal(ProcessSignal.KILL)
-            platform.startAgent()
+            platform.agents
+                .single()
+                .node
+                .signal(ProcessSignal.KILL)
+            platform.agents
+                .single()
+                .node
+                .start()
             assertEquals("""{"state":"completed"}""", platform.submit(id(2))?.body)
-            assertEquals(emptyList<String>(), platform.upstream.overlaps)
+            assertEquals(emptyList<String>(), platform.watch.overlaps)
         }
 
     @Test
@@ -71,8 +77,11 @@
         runBlocking {
             platform.start()
             val job = async { platform.submit(id(1)) }
-            platform.until { platform.upstream.started.isNotEmpty() }
-            platform.entry.signal(ProcessSignal.TERM)
+            platform.until { platform.watch.started.isNotEmpty() }
+            platform.entries
+                .single()
+                .node
+                .signal(ProcessSignal.TERM)
             platform.until { platform.readiness() != HTTP_OK }
             assertEquals("""{"state":"completed"}""", job.await()?.body)
         }
@@ -84,13 +93,19 @@
         runBlocking {
             platform.start()
             val lost = async { platform.submit(id(1)) }
-            platform.until { platform.upstream.started.isNotEmpty() }
-            platform.entry.signal(ProcessSignal.KILL)
+            platform.until { platform.watch.started.isNotEmpty() }
+            platform.entries
+                .single()
+                .node
+                .signal(ProcessSignal.KILL)
             assertEquals(null, lost.await())
-            platform.startEntry()
+            platform.entries
+                .single()
+                .node
+                .start()
             platform.until { platform.readiness() == HTTP_OK }
             assertEquals("""{"state":"completed"}""", platform.submit(id(1))?.body)
-            assertTrue(platform.upstream.overlaps.isEmpty())
+            assertTrue(platform.watch.overlaps.isEmpty())
         }
     }
 
