--- a/egretlock-testing/src/main/kotlin/io/egretlock/testing/platform/PlatformNode.kt
+++ b/egretlock-testing/src/main/kotlin/io/egretlock/testing/platform/PlatformNode.kt
@@ -1,6 +1,5 @@
 package io.egretlock.testing.platform
 
-import io.egretlock.core.roster.NodeAddress
 import io.egretlock.testing.system.ManagedProcess
 import io.egretlock.testing.system.ProcessLauncher
 import io.egretlock.testing.system.ProcessSignal
@@ -20,6 +19,8 @@
     private val launcher: ProcessLauncher,
     private val settings: List<String>,
 ) {
+    private val fileId = System.identityHashCode(this)
+
     /** The process that was started last. */
     lateinit var process: ManagedProcess
         private set
@@ -34,21 +35,4 @@
 
     /** Sends [signal] to the process that runs now. */
     fun signal(signal: ProcessSignal) = process.signal(signal)
-
-    private val fileId = System.identityHashCode(this)
 }
-
-/** An instance that serves callers at [callers] and the balancer at [readiness]. */
-class PlatformEntry internal constructor(
-    val node: PlatformNode,
-    val callers: NodeAddress,
-    val readiness: NodeAddress,
-)
-
-/** An instance with an [upstream] at [address], which reports to the agent at [heartbeats]. */
-class PlatformAgent internal constructor(
-    val node: PlatformNode,
-    val upstream: PlatformUpstreamStandIn,
-    val address: NodeAddress,
-    val heartbeats: NodeAddress,
-)
--- a/egretlock-testing/src/main/kotlin/io/egretlock/testing/platform/PlatformUpstreamStandIn.kt
+++ b/egretlock-testing/src/main/kotlin/io/egretlock/testing/platform/PlatformUpstreamStandIn.kt
@@ -19,8 +19,8 @@
  */
 class PlatformUpstreamStandIn(
     private val taskMillis: Long,
-    private val cores: Int = DEFAULT_CORES,
-    private val watch: RunWatch = RunWatch(),
+    private val cores: Int,
+    private val watch: RunWatch,
 ) {
     private val startedAt = System.currentTimeMillis()
     private val active = LinkedHashMap<String, Run>()
@@ -155,7 +155,6 @@
     }
 
     private companion object {
-        const val DEFAULT_CORES = 16
         const val MILLICORES = 1_000
         const val HTTP_OK = 200
         const val HTTP_NOT_FOUND = 404
