Give sockets, timers and decisions of a process one thread

Cause: on the grown sites processor time binds (fault "too slow"). A profile and thread times of an entry and an agent under load (stand-in, 11 entries, 22 agents) show as much time in the threads that wait for sockets as in the one that decides: each message woke the selector's thread, a worker that copied bytes, and the process's own thread; each timer one more. The library fixes the dispatcher of its copying, so that no setting helps. Ruled out: heartbeats alone (ten times rarer: idle agent 83 to 51 ms/s, entry 126 to 79, trial), decisions (placing and reading reports 30 of 196 samples of an entry), logs (12 of 196). Change: module egretlock-sockets with an event loop of our own that runs coroutines, delays and non-blocking sockets on one thread; connections and HTTP use it in both interfaces, the platform's processes run on it altogether. Ktor's sockets go, its reading of HTTP and CBOR stay.

--- a/egretlock-agent/src/main/kotlin/io/egretlock/agent/AgentProcess.kt
+++ b/egretlock-agent/src/main/kotlin/io/egretlock/agent/AgentProcess.kt
@@ -7,10 +7,10 @@
 import io.egretlock.process.ServedProcess
 import io.egretlock.process.event
 import io.egretlock.process.launchEssential
+import io.egretlock.sockets.EventLoop
 import io.github.oshai.kotlinlogging.KotlinLogging
 import io.javalin.Javalin
 import io.javalin.config.JavalinConfig
-import io.ktor.network.selector.SelectorManager
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
@@ -34,7 +34,7 @@
 ) : Inspectable,
     ServedProcess {
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
-    private val selector = SelectorManager(Dispatchers.IO)
+    private val loop = EventLoop("sockets")
     private val client = HttpUpstreamClient()
     private val metrics = AgentMetrics()
     private val dialers = ConcurrentHashMap<NodeAddress, Job>()
@@ -80,7 +80,7 @@
     private fun dial(address: NodeAddress) {
         dialers.compute(address) { _, present ->
             present?.takeIf { it.isActive } ?: scope.launchEssential(logger, AgentEvent.TASK_FAILED) {
-                EntryDialer(address, settings.timing, selector, scope, agent.commands).run()
+                EntryDialer(address, settings.timing, loop, scope, agent.commands).run()
             }
         }
     }
--- a/egretlock-agent/src/main/kotlin/io/egretlock/agent/EntryDialer.kt
+++ b/egretlock-agent/src/main/kotlin/io/egretlock/agent/EntryDialer.kt
@@ -6,8 +6,8 @@
 import io.egretlock.protocol.Link
 import io.egretlock.protocol.LinkTiming
 import io.egretlock.protocol.Welcome
+import io.egretlock.sockets.EventLoop
 import io.github.oshai.kotlinlogging.KotlinLogging
-import io.ktor.network.selector.SelectorManager
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
@@ -30,7 +30,7 @@
 internal class EntryDialer(
     private val address: NodeAddress,
     private val timing: LinkTiming,
-    private val selector: SelectorManager,
+    private val loop: EventLoop,
     private val scope: CoroutineScope,
     private val commands: SendChannel<AgentCommand>,
 ) {
@@ -97,7 +97,7 @@
 
     private suspend fun dial(): Link? =
         try {
-            Link.dial(address, selector, scope, timing)
+            Link.dial(address, loop, scope, timing)
         } catch (unreachable: IOException) {
             logger.debug { "Entry at $address is unreachable: $unreachable" }
             null
--- a/egretlock-agent/src/main/kotlin/io/egretlock/agent/run/EntryDialers.kt
+++ b/egretlock-agent/src/main/kotlin/io/egretlock/agent/run/EntryDialers.kt
@@ -7,7 +7,7 @@
 import io.egretlock.protocol.LinkTiming
 import io.egretlock.protocol.RunAgentHello
 import io.egretlock.protocol.RunEntryHello
-import io.ktor.network.selector.SelectorManager
+import io.egretlock.sockets.EventLoop
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
@@ -20,7 +20,7 @@
 internal class EntryDialers(
     private val agent: ProcessId,
     private val failureDomain: FailureDomain,
-    private val selector: SelectorManager,
+    private val loop: EventLoop,
     private val scope: CoroutineScope,
     private val nowMillis: () -> Long,
     private val tell: (RunAgentInput) -> Unit,
@@ -55,7 +55,7 @@
 
     /** Connects and stays connected; returns whether the entry answered. */
     private suspend fun connectOnce(address: NodeAddress): Boolean {
-        val link = Link.dialOrNull(address, selector, scope, TIMING) ?: return false
+        val link = Link.dialOrNull(address, loop, scope, TIMING) ?: return false
         try {
             link.send(RunAgentHello(agent, failureDomain))
             val hello = withTimeoutOrNull(TIMING.connectMillis) { link.incoming.receiveCatching().getOrNull() }
--- a/egretlock-agent/src/main/kotlin/io/egretlock/agent/run/RunAgentProcess.kt
+++ b/egretlock-agent/src/main/kotlin/io/egretlock/agent/run/RunAgentProcess.kt
@@ -14,37 +14,33 @@
 import io.egretlock.process.ServedProcess
 import io.egretlock.process.event
 import io.egretlock.process.launchEssential
+import io.egretlock.sockets.EventLoop
 import io.egretlock.store.EntryDirectory
 import io.egretlock.store.StoreException
 import io.github.oshai.kotlinlogging.KotlinLogging
-import io.ktor.network.selector.SelectorManager
 import kotlinx.coroutines.CoroutineScope
-import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.SupervisorJob
-import kotlinx.coroutines.asCoroutineDispatcher
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
-import java.util.concurrent.Executors
 
 private val logger = KotlinLogging.logger {}
 
-/** An agent on the users' platform. All of its coroutines share one thread, but for those that wait for sockets. */
+/** An agent on the users' platform. All of its coroutines and sockets share one thread. */
 internal class RunAgentProcess(
     private val settings: BootSettings,
 ) : ServedProcess {
-    private val dispatcher = Executors.newSingleThreadExecutor { Thread(it, "agent") }.asCoroutineDispatcher()
-    private val scope = CoroutineScope(SupervisorJob() + dispatcher)
-    private val selector = SelectorManager(Dispatchers.IO)
+    private val loop = EventLoop("agent")
+    private val scope = CoroutineScope(SupervisorJob() + loop)
     private val identity = ProcessId(settings.nodeName, System.currentTimeMillis())
     private val upstream = checkNotNull(settings.upstream) { "An agent needs the address of its upstream." }
     private val agent = RunAgent(upstreamCalls(), scope, FencingToken(identity.incarnation), ::nowMillis)
     private val dialers =
-        EntryDialers(identity, settings.failureDomain, selector, scope, ::nowMillis, agent::tell)
+        EntryDialers(identity, settings.failureDomain, loop, scope, ::nowMillis, agent::tell)
 
     override suspend fun start() {
         scope.launchEssential(logger, RunAgentEvent.TASK_FAILED) { agent.run() }
         val heartbeats = UpstreamHeartbeats(Receiver())
-        settings.heartbeats?.let { HttpServer.bind(it.host, it.port, selector, scope, heartbeats::answer) }
+        settings.heartbeats?.let { HttpServer.bind(it.host, it.port, loop, scope, heartbeats::answer) }
         scope.launch {
             dialers.know(settings.seeds.map { NodeAddress(it, settings.firstPort) })
             watchEntries()
@@ -74,8 +70,8 @@
 
     private fun upstreamCalls(): UpstreamCalls =
         UpstreamCalls(
-            orders = HttpCaller(upstream, selector, ORDER_CONNECTIONS),
-            renewals = HttpCaller(upstream, selector, connectionLimit = 1),
+            orders = HttpCaller(upstream, loop, ORDER_CONNECTIONS),
+            renewals = HttpCaller(upstream, loop, connectionLimit = 1),
         )
 
     private suspend fun watchEntries() {
@@ -97,7 +93,7 @@
         }
     }
 
-    private fun caller() = HttpCaller(settings.store, selector, connectionLimit = 1)
+    private fun caller() = HttpCaller(settings.store, loop, connectionLimit = 1)
 
     private fun nowMillis(): Long = System.nanoTime() / NANOS_PER_MILLI
 
--- a/egretlock-agent/src/test/kotlin/io/egretlock/agent/EntryStandIn.kt
+++ b/egretlock-agent/src/test/kotlin/io/egretlock/agent/EntryStandIn.kt
@@ -9,7 +9,7 @@
 import io.egretlock.protocol.LinkTiming
 import io.egretlock.protocol.Message
 import io.egretlock.protocol.Welcome
-import io.ktor.network.selector.SelectorManager
+import io.egretlock.sockets.EventLoop
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.SupervisorJob
@@ -25,10 +25,10 @@
     timing: LinkTiming = LinkTiming(),
 ) : AutoCloseable {
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
-    private val selector = SelectorManager(Dispatchers.IO)
+    private val loop = EventLoop("sockets")
     private val sessions = Channel<Session>(Channel.UNLIMITED)
     private val listener =
-        runBlocking { LinkListener.bind(NodeAddress("127.0.0.1", 0), selector, scope, timing) { welcome(it) } }
+        runBlocking { LinkListener.bind(NodeAddress("127.0.0.1", 0), loop, scope, timing) { welcome(it) } }
 
     /** Where agents dial. */
     val address: NodeAddress = NodeAddress("127.0.0.1", listener.port)
@@ -45,7 +45,7 @@
     override fun close() {
         listener.close()
         scope.cancel()
-        selector.close()
+        loop.close()
     }
 
     private suspend fun welcome(link: Link) {
--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/EntryProcess.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/EntryProcess.kt
@@ -21,6 +21,7 @@
 import io.egretlock.protocol.LinkListener
 import io.egretlock.protocol.Message
 import io.egretlock.protocol.SettingsUpdate
+import io.egretlock.sockets.EventLoop
 import io.egretlock.store.BudgetedStore
 import io.egretlock.store.KeyValueStore
 import io.egretlock.store.StoreCallBudget
@@ -30,7 +31,6 @@
 import io.github.oshai.kotlinlogging.KotlinLogging
 import io.javalin.Javalin
 import io.javalin.config.JavalinConfig
-import io.ktor.network.selector.SelectorManager
 import io.prometheus.metrics.model.registry.PrometheusRegistry
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
@@ -52,7 +52,7 @@
 ) : Inspectable,
     ServedProcess {
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
-    private val selector = SelectorManager(Dispatchers.IO)
+    private val loop = EventLoop("sockets")
     private val self = EntryMember(ProcessId(settings.name, System.currentTimeMillis()), settings.advertisedLinkAddress)
     private val registry = PrometheusRegistry()
     private val store = BudgetedStore(platformStore, StoreCallBudget(StoreCallLimits(), registry))
@@ -64,7 +64,7 @@
     private val settingsWatcher = SettingsWatcher(store, listener = SettingsWatchLog(settingsKeeper))
     private val exchange = PeerExchange(settingsKeeper, ::rosterInput)
     private val peers =
-        PeerConnections(EntryHello(self.entry, self.address), exchange, selector, settings.timing, scope)
+        PeerConnections(EntryHello(self.entry, self.address), exchange, loop, settings.timing, scope)
     private val roster = rosterTask()
     private val handover = HandoverSignal()
     private val router = JobRouter(roster, home, peers, handover, ::monotonicMillis)
@@ -86,7 +86,7 @@
         scope.launchEssential(logger, EntryEvent.TASK_FAILED) { home.run() }
         scope.launchEssential(logger, EntryEvent.TASK_FAILED) { joinOnceInformed() }
         scope.launchEssential(logger, EntryEvent.TASK_FAILED) { settingsKeeper.run(settingsWatcher.updates()) }
-        listener = LinkListener.bind(settings.linkAddress, selector, scope, settings.timing, linkServer::serve)
+        listener = LinkListener.bind(settings.linkAddress, loop, scope, settings.timing, linkServer::serve)
         callers.start(settings.callersAddress.host, settings.callersAddress.port)
         operators.start(settings.operatorsAddress.host, settings.operatorsAddress.port)
         logger.event(EntryEvent.STARTED, "entry" to self.entry, "failureDomain" to settings.failureDomain)
@@ -105,7 +105,7 @@
         operators.stop()
         listener?.close()
         scope.cancel()
-        selector.close()
+        loop.close()
         logger.event(EntryEvent.STOPPED, "entry" to self.entry)
     }
 
--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/PeerConnection.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/PeerConnection.kt
@@ -9,8 +9,8 @@
 import io.egretlock.protocol.Message
 import io.egretlock.protocol.ReplyMessage
 import io.egretlock.protocol.Welcome
+import io.egretlock.sockets.EventLoop
 import io.github.oshai.kotlinlogging.KotlinLogging
-import io.ktor.network.selector.SelectorManager
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
@@ -32,7 +32,7 @@
     private val member: EntryMember,
     private val hello: EntryHello,
     private val listener: PeerListener,
-    private val selector: SelectorManager,
+    private val loop: EventLoop,
     private val timing: LinkTiming,
     private val scope: CoroutineScope,
 ) {
@@ -82,7 +82,7 @@
 
     private suspend fun dial(): Link? =
         try {
-            Link.dial(member.address, selector, scope, timing)
+            Link.dial(member.address, loop, scope, timing)
         } catch (timeout: TimeoutCancellationException) {
             logger.debug { "Entry '${member.entry}' did not accept: $timeout" }
             listener.unreachable(member.entry, gone = false)
--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/PeerConnections.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/PeerConnections.kt
@@ -5,7 +5,7 @@
 import io.egretlock.protocol.EntryHello
 import io.egretlock.protocol.LinkTiming
 import io.egretlock.protocol.Message
-import io.ktor.network.selector.SelectorManager
+import io.egretlock.sockets.EventLoop
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.withTimeoutOrNull
 import java.util.concurrent.ConcurrentHashMap
@@ -15,7 +15,7 @@
 internal class PeerConnections(
     private val hello: EntryHello,
     private val listener: PeerListener,
-    private val selector: SelectorManager,
+    private val loop: EventLoop,
     private val timing: LinkTiming,
     private val scope: CoroutineScope,
 ) : PeerCalls {
@@ -48,6 +48,6 @@
 
     private fun connection(member: EntryMember): PeerConnection =
         connections.computeIfAbsent(member.entry) {
-            PeerConnection(member, hello, listener, selector, timing, scope).also { it.start() }
+            PeerConnection(member, hello, listener, loop, timing, scope).also { it.start() }
         }
 }
--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/run/EntryPeers.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/run/EntryPeers.kt
@@ -9,8 +9,8 @@
 import io.egretlock.protocol.LinkTiming
 import io.egretlock.protocol.Message
 import io.egretlock.protocol.RunEntryHello
+import io.egretlock.sockets.EventLoop
 import io.github.oshai.kotlinlogging.KotlinLogging
-import io.ktor.network.selector.SelectorManager
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
@@ -25,7 +25,7 @@
     private val identity: ProcessId,
     private val address: NodeAddress,
     private val configuration: ConfigurationKeeper,
-    private val selector: SelectorManager,
+    private val loop: EventLoop,
     private val scope: CoroutineScope,
 ) {
     private val dialed = HashSet<NodeAddress>()
@@ -68,7 +68,7 @@
     }
 
     private suspend fun connectOnce(other: NodeAddress): Boolean {
-        val link = Link.dialOrNull(other, selector, scope, TIMING) ?: return false
+        val link = Link.dialOrNull(other, loop, scope, TIMING) ?: return false
         link.send(hello())
         converse(link)
         return true
--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/run/RunEntryProcess.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/run/RunEntryProcess.kt
@@ -23,28 +23,24 @@
 import io.egretlock.protocol.LinkTiming
 import io.egretlock.protocol.RunAgentHello
 import io.egretlock.protocol.RunEntryHello
+import io.egretlock.sockets.EventLoop
 import io.egretlock.store.EntryDirectory
 import io.egretlock.store.StoreException
 import io.github.oshai.kotlinlogging.KotlinLogging
-import io.ktor.network.selector.SelectorManager
 import kotlinx.coroutines.CoroutineScope
-import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.SupervisorJob
-import kotlinx.coroutines.asCoroutineDispatcher
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
-import java.util.concurrent.Executors
 
 private val logger = KotlinLogging.logger {}
 
-/** An entry on the users' platform. All of its coroutines share one thread, but for those that wait for sockets. */
+/** An entry on the users' platform. All of its coroutines and sockets share one thread. */
 internal class RunEntryProcess(
     private val settings: BootSettings,
 ) : ServedProcess,
     StepJobService {
-    private val dispatcher = Executors.newSingleThreadExecutor { Thread(it, "entry") }.asCoroutineDispatcher()
-    private val scope = CoroutineScope(SupervisorJob() + dispatcher)
-    private val selector = SelectorManager(Dispatchers.IO)
+    private val loop = EventLoop("entry")
+    private val scope = CoroutineScope(SupervisorJob() + loop)
     private val identity = ProcessId(settings.nodeName, System.currentTimeMillis())
     private val address = NodeAddress(settings.host, settings.firstPort)
     private val entry = RunEntry(StepJobPolicies.standard(settings.failureDomain), ::nowMillis, ::epochSeconds)
@@ -58,7 +54,7 @@
         ) { configuration, _ ->
             applied(configuration)
         }
-    private val peers = EntryPeers(identity, address, keeper, selector, scope)
+    private val peers = EntryPeers(identity, address, keeper, loop, scope)
     private val drain = EntryDrain(::nowMillis)
     private var isDirectoryLost = false
 
@@ -74,12 +70,12 @@
     override suspend fun start() {
         scope.launchEssential(logger, RunEntryEvent.TASK_FAILED) { entry.run() }
         scope.launchEssential(logger, RunEntryEvent.TASK_FAILED) { keeper.run() }
-        LinkListener.bind(address, selector, scope, TIMING, ::serve)
+        LinkListener.bind(address, loop, scope, TIMING, ::serve)
         val callers = CallerRequests(this)
         val front = checkNotNull(settings.callers) { "An entry needs an address for callers." }
         val readiness = checkNotNull(settings.readiness) { "An entry needs an address for readiness." }
-        HttpServer.bind(front.host, front.port, selector, scope, callers::answer)
-        HttpServer.bind(readiness.host, readiness.port, selector, scope) { callers.readiness() }
+        HttpServer.bind(front.host, front.port, loop, scope, callers::answer)
+        HttpServer.bind(readiness.host, readiness.port, loop, scope) { callers.readiness() }
         scope.launch { peers.know(settings.seeds.map { NodeAddress(it, settings.firstPort) }) }
         scope.launch { directory.keepListed(address, ::directoryFailure) }
         scope.launch { watchEntries() }
@@ -167,7 +163,7 @@
 
     private fun store(watchMillis: Long) = PlatformStore(caller(), caller(), watchMillis)
 
-    private fun caller() = HttpCaller(settings.store, selector, connectionLimit = 1)
+    private fun caller() = HttpCaller(settings.store, loop, connectionLimit = 1)
 
     private fun nowMillis(): Long = System.nanoTime() / NANOS_PER_MILLI
 
--- a/egretlock-entry/src/test/kotlin/io/egretlock/entry/PeerConnectionTest.kt
+++ b/egretlock-entry/src/test/kotlin/io/egretlock/entry/PeerConnectionTest.kt
@@ -8,7 +8,7 @@
 import io.egretlock.protocol.ForwardQuery
 import io.egretlock.protocol.LinkTiming
 import io.egretlock.protocol.Message
-import io.ktor.network.selector.SelectorManager
+import io.egretlock.sockets.EventLoop
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.SupervisorJob
@@ -27,14 +27,14 @@
 
 class PeerConnectionTest {
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
-    private val selector = SelectorManager(Dispatchers.IO)
+    private val loop = EventLoop("sockets")
     private val server = ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress())
     private val accepted = AtomicInteger()
 
     @AfterEach
     fun stop() {
         scope.cancel()
-        selector.close()
+        loop.close()
         server.close()
     }
 
@@ -62,7 +62,7 @@
         val member = EntryMember(ProcessId("entry-2", 1), NodeAddress("127.0.0.1", server.localPort))
         val hello = EntryHello(ProcessId("entry-1", 1), NodeAddress("127.0.0.1", 1))
         val timing = LinkTiming(heartbeatMillis = SILENCE_MILLIS / 2, silenceMillis = SILENCE_MILLIS)
-        return PeerConnection(member, hello, IgnoringListener, selector, timing, scope)
+        return PeerConnection(member, hello, IgnoringListener, loop, timing, scope)
     }
 
     private fun acceptAndClose() {
--- a/egretlock-entry/src/test/kotlin/io/egretlock/entry/run/RunEntryTest.kt
+++ b/egretlock-entry/src/test/kotlin/io/egretlock/entry/run/RunEntryTest.kt
@@ -18,10 +18,9 @@
 import io.egretlock.protocol.RunAgentHello
 import io.egretlock.protocol.StartRuns
 import io.egretlock.protocol.UpstreamReported
-import io.ktor.network.selector.SelectorManager
+import io.egretlock.sockets.EventLoop
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
-import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.ExperimentalCoroutinesApi
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.cancel
@@ -83,20 +82,20 @@
         entry: RunEntry,
         body: suspend (suspend () -> Link) -> Unit,
     ) = coroutineScope {
-        SelectorManager(Dispatchers.IO).use { selector ->
+        EventLoop("test").use { loop ->
             val accepted = Channel<Link>(Channel.UNLIMITED)
             val scope = CoroutineScope(coroutineContext + Job())
             val listener =
                 LinkListener.bind(
                     NodeAddress("127.0.0.1", 0),
-                    selector,
+                    loop,
                     scope,
                     PATIENT,
                 ) { accepted.send(it) }
             scope.launch { entry.run() }
             withTimeout(DEADLINE_MILLIS) {
                 body {
-                    val near = Link.dial(NodeAddress("127.0.0.1", listener.port), selector, scope, PATIENT)
+                    val near = Link.dial(NodeAddress("127.0.0.1", listener.port), loop, scope, PATIENT)
                     val far = accepted.receive()
                     entry.tell(RunEntryInput.AgentConnected(RunAgentHello(ProcessId("agent", 1), DOMAIN), far))
                     entry.tell(RunEntryInput.AgentMessage(far, UpstreamReported(REPORT, 0)))
--- a/egretlock-protocol/src/main/kotlin/io/egretlock/protocol/Link.kt
+++ b/egretlock-protocol/src/main/kotlin/io/egretlock/protocol/Link.kt
@@ -1,18 +1,9 @@
 package io.egretlock.protocol
 
 import io.egretlock.core.roster.NodeAddress
+import io.egretlock.sockets.EventLoop
+import io.egretlock.sockets.LoopSocket
 import io.github.oshai.kotlinlogging.KotlinLogging
-import io.ktor.network.selector.SelectorManager
-import io.ktor.network.sockets.Socket
-import io.ktor.network.sockets.aSocket
-import io.ktor.network.sockets.openReadChannel
-import io.ktor.network.sockets.openWriteChannel
-import io.ktor.utils.io.ByteReadChannel
-import io.ktor.utils.io.ByteWriteChannel
-import io.ktor.utils.io.readByteArray
-import io.ktor.utils.io.readInt
-import io.ktor.utils.io.writeByteArray
-import io.ktor.utils.io.writeInt
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
@@ -25,10 +16,15 @@
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.plus
 import kotlinx.coroutines.withTimeout
+import java.io.ByteArrayOutputStream
 import java.io.IOException
+import java.nio.ByteBuffer
 import java.util.concurrent.atomic.AtomicLong
 
 private const val LARGEST_FRAME_BYTES = 64 * 1_024 * 1_024
+
+/** Bytes of frames that are gathered for one write; more would keep the first of them waiting. */
+private const val LARGEST_BATCH_BYTES = 32 * 1_024
 private val logger = KotlinLogging.logger {}
 
 /**
@@ -54,8 +50,9 @@
  * connection ends, for whatever reason. A connection whose other end has been silent too long ends itself.
  */
 class Link internal constructor(
-    private val socket: Socket,
+    private val socket: LoopSocket,
     private val timing: LinkTiming,
+    loop: EventLoop,
     scope: CoroutineScope,
 ) {
     private val outgoing = Channel<Message>(Channel.UNLIMITED)
@@ -68,11 +65,9 @@
     val incoming: ReceiveChannel<Message> = received
 
     init {
-        val reader = socket.openReadChannel()
-        val writer = socket.openWriteChannel()
-        val owner = scope + lifetime
-        owner.launch { endingWithConnection { read(reader) } }
-        owner.launch { endingWithConnection { write(writer) } }
+        val owner = scope + lifetime + loop
+        owner.launch { endingWithConnection { read() } }
+        owner.launch { endingWithConnection { write() } }
         owner.launch { endingWithConnection { watch() } }
     }
 
@@ -99,13 +94,18 @@
         }
     }
 
-    private suspend fun read(reader: ByteReadChannel) {
+    private suspend fun read() {
+        val frames = FrameBuffer(timing.largestFrameBytes)
         while (true) {
-            val length = reader.readInt()
-            if (length !in 1..timing.largestFrameBytes) throw IOException("Frame of $length bytes is not allowed.")
-            val message = MessageCodec.decode(reader.readByteArray(length))
-            silence.heard()
-            deliver(message)
+            val count = socket.read(frames.space())
+            if (count < 0) throw IOException("The other end closed the connection.")
+            var body = frames.next()
+            while (body != null) {
+                val message = MessageCodec.decode(body)
+                silence.heard()
+                deliver(message)
+                body = frames.next()
+            }
         }
     }
 
@@ -121,29 +121,33 @@
         silence.confirmed(message.heard)
     }
 
-    private suspend fun write(writer: ByteWriteChannel) {
+    /** Writes what is queued, all of it at once. */
+    private suspend fun write() {
         try {
-            for (message in outgoing) {
-                writeFrame(writer, message)
-                var next = outgoing.tryReceive().getOrNull()
-                while (next != null) {
-                    writeFrame(writer, next)
-                    next = outgoing.tryReceive().getOrNull()
-                }
-                writer.flush()
-            }
+            for (message in outgoing) socket.write(ByteBuffer.wrap(framesFrom(message)))
         } catch (closed: ClosedSendChannelException) {
             throw IOException("Connection closed.", closed)
         }
     }
 
-    private suspend fun writeFrame(
-        writer: ByteWriteChannel,
+    /** Frames of [first] and of what is queued behind it. */
+    private fun framesFrom(first: Message): ByteArray {
+        val frames = ByteArrayOutputStream()
+        var next: Message? = first
+        while (next != null) {
+            appendFrame(frames, next)
+            next = if (frames.size() < LARGEST_BATCH_BYTES) outgoing.tryReceive().getOrNull() else null
+        }
+        return frames.toByteArray()
+    }
+
+    private fun appendFrame(
+        frames: ByteArrayOutputStream,
         message: Message,
     ) {
         val bytes = MessageCodec.encode(message)
-        writer.writeInt(bytes.size)
-        writer.writeByteArray(bytes)
+        frames.writeBytes(ByteBuffer.allocate(Int.SIZE_BYTES).putInt(bytes.size).array())
+        frames.writeBytes(bytes)
     }
 
     private suspend fun watch() {
@@ -163,12 +167,12 @@
         /** Opens a connection to [address]; null, with a debug line, if that fails. */
         suspend fun dialOrNull(
             address: NodeAddress,
-            selector: SelectorManager,
+            loop: EventLoop,
             scope: CoroutineScope,
             timing: LinkTiming,
         ): Link? =
             try {
-                dial(address, selector, scope, timing)
+                dial(address, loop, scope, timing)
             } catch (late: TimeoutCancellationException) {
                 logger.debug { "No connection to $address: $late" }
                 null
@@ -180,15 +184,12 @@
         /** Opens a connection to [address]; throws [IOException] or a timeout if that fails. */
         suspend fun dial(
             address: NodeAddress,
-            selector: SelectorManager,
+            loop: EventLoop,
             scope: CoroutineScope,
             timing: LinkTiming = LinkTiming(),
         ): Link {
-            val socket =
-                withTimeout(timing.connectMillis) {
-                    aSocket(selector).tcp().connect(address.host, address.port) { noDelay = true }
-                }
-            return Link(socket, timing, scope)
+            val socket = withTimeout(timing.connectMillis) { LoopSocket.connect(loop, address) }
+            return Link(socket, timing, loop, scope)
         }
     }
 }
--- a/egretlock-protocol/src/test/kotlin/io/egretlock/protocol/LinkTest.kt
+++ b/egretlock-protocol/src/test/kotlin/io/egretlock/protocol/LinkTest.kt
@@ -3,7 +3,7 @@
 import io.egretlock.core.job.JobId
 import io.egretlock.core.job.TaskId
 import io.egretlock.core.roster.NodeAddress
-import io.ktor.network.selector.SelectorManager
+import io.egretlock.sockets.EventLoop
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.runBlocking
@@ -37,11 +37,11 @@
     @Test
     fun `given an other end that is heard but does not hear, when heartbeats stay unanswered, then messages end`() =
         runBlocking(Dispatchers.Default) {
-            SelectorManager(Dispatchers.IO).use { selector ->
+            EventLoop("test").use { loop ->
                 ServerSocket(0).use { server ->
                     val deaf = thread(isDaemon = true) { sendHeartbeatsForever(server.accept()) }
                     val timing = LinkTiming(heartbeatMillis = 20, silenceMillis = 300)
-                    val link = Link.dial(NodeAddress("127.0.0.1", server.localPort), selector, this, timing)
+                    val link = Link.dial(NodeAddress("127.0.0.1", server.localPort), loop, this, timing)
                     withTimeout(DEADLINE_MILLIS) { assertNull(link.incoming.receiveCatching().getOrNull()) }
                     deaf.interrupt()
                 }
@@ -51,10 +51,10 @@
     @Test
     fun `given an idle connection, when heartbeats come and go, then each end sends one an interval and no replies`() =
         runBlocking(Dispatchers.Default) {
-            SelectorManager(Dispatchers.IO).use { selector ->
+            EventLoop("test").use { loop ->
                 ServerSocket(0).use { server ->
                     val timing = LinkTiming(heartbeatMillis = 20, silenceMillis = 300)
-                    val link = Link.dial(NodeAddress("127.0.0.1", server.localPort), selector, this, timing)
+                    val link = Link.dial(NodeAddress("127.0.0.1", server.localPort), loop, this, timing)
                     val answered = withTimeout(DEADLINE_MILLIS) { answerHeartbeats(server.accept(), count = 40) }
                     assertEquals((1L..40L).toList(), answered.map { it.sequence })
                     assertEquals(answered.map { it.heard }.sorted(), answered.map { it.heard })
@@ -97,11 +97,11 @@
 
     private fun withLinkPair(body: suspend (Link, Link) -> Unit) =
         runBlocking(Dispatchers.Default) {
-            SelectorManager(Dispatchers.IO).use { selector ->
+            EventLoop("test").use { loop ->
                 val accepted = CompletableDeferred<Link>()
                 val listener =
-                    LinkListener.bind(NodeAddress("127.0.0.1", 0), selector, this) { link -> accepted.complete(link) }
-                val near = Link.dial(NodeAddress("127.0.0.1", listener.port), selector, this)
+                    LinkListener.bind(NodeAddress("127.0.0.1", 0), loop, this) { link -> accepted.complete(link) }
+                val near = Link.dial(NodeAddress("127.0.0.1", listener.port), loop, this)
                 val far = withTimeout(DEADLINE_MILLIS) { accepted.await() }
                 withTimeout(DEADLINE_MILLIS) { body(near, far) }
                 near.close()
--- /dev/null
+++ b/egretlock-sockets/src/main/kotlin/io/egretlock/sockets/LoopSocket.kt
@@ -0,0 +1,100 @@
+package io.egretlock.sockets
+
+import io.egretlock.core.roster.NodeAddress
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.withContext
+import java.io.IOException
+import java.net.InetSocketAddress
+import java.net.StandardSocketOptions
+import java.net.UnknownHostException
+import java.nio.ByteBuffer
+import java.nio.channels.SelectionKey
+import java.nio.channels.SocketChannel
+
+/**
+ * A TCP connection of an [EventLoop]. Reading and writing are for coroutines of the loop, one reader and one writer at a
+ * time; both throw [java.io.IOException] once the connection has ended.
+ */
+class LoopSocket internal constructor(
+    private val loop: EventLoop,
+    private val channel: SocketChannel,
+    private val readiness: Readiness,
+) {
+    /** Whether the last read filled its buffer, so that there may be more without waiting. */
+    private var mayHaveMore = false
+
+    /** Reads what is there into [buffer], after waiting for at least one byte; returns -1 at the other end's close. */
+    suspend fun read(buffer: ByteBuffer): Int {
+        require(buffer.hasRemaining()) { "The buffer to read into is full." }
+        while (true) {
+            if (!mayHaveMore) readiness.await(SelectionKey.OP_READ)
+            val count = channel.read(buffer)
+            mayHaveMore = !buffer.hasRemaining()
+            if (count != 0) return count
+        }
+    }
+
+    /** Writes all of [buffer]. */
+    suspend fun write(buffer: ByteBuffer) {
+        while (true) {
+            channel.write(buffer)
+            if (!buffer.hasRemaining()) return
+            readiness.await(SelectionKey.OP_WRITE)
+        }
+    }
+
+    /** Closes the connection; idempotent, and allowed on any thread. */
+    fun close() = loop.post { readiness.close() }
+
+    companion object {
+        /** Opens a connection to [address]; throws [java.io.IOException] if that fails. */
+        suspend fun connect(
+            loop: EventLoop,
+            address: NodeAddress,
+        ): LoopSocket {
+            val remote = resolve(address)
+            return withContext(loop) {
+                val socket = open(loop, SocketChannel.open())
+                var isConnected = false
+                try {
+                    socket.finishConnecting(remote)
+                    isConnected = true
+                } finally {
+                    if (!isConnected) socket.close()
+                }
+                socket
+            }
+        }
+
+        internal fun open(
+            loop: EventLoop,
+            channel: SocketChannel,
+        ): LoopSocket {
+            try {
+                channel.setOption(StandardSocketOptions.TCP_NODELAY, true)
+                return LoopSocket(loop, channel, loop.register(channel))
+            } catch (failure: IOException) {
+                channel.close()
+                throw failure
+            }
+        }
+
+        /** Looks names up on a thread that may block; addresses in digits need no looking up. */
+        private suspend fun resolve(address: NodeAddress): InetSocketAddress {
+            val isLiteral = address.host.first().isDigit() || ':' in address.host
+            val resolved =
+                if (isLiteral) {
+                    InetSocketAddress(address.host, address.port)
+                } else {
+                    withContext(Dispatchers.IO) { InetSocketAddress(address.host, address.port) }
+                }
+            if (resolved.isUnresolved) throw UnknownHostException("${address.host} has no known address.")
+            return resolved
+        }
+    }
+
+    private suspend fun finishConnecting(remote: InetSocketAddress) {
+        if (channel.connect(remote)) return
+        do readiness.await(SelectionKey.OP_CONNECT) while (!channel.finishConnect())
+    }
+}
--- a/egretlock-testing/src/main/kotlin/io/egretlock/testing/platform/PlatformStandIn.kt
+++ b/egretlock-testing/src/main/kotlin/io/egretlock/testing/platform/PlatformStandIn.kt
@@ -5,13 +5,12 @@
 import io.egretlock.platform.http.HttpAnswer
 import io.egretlock.platform.http.HttpCaller
 import io.egretlock.platform.http.HttpServer
+import io.egretlock.sockets.EventLoop
 import io.egretlock.testing.system.FreePorts
 import io.egretlock.testing.system.ProcessLauncher
 import io.egretlock.testing.system.freeAddress
 import io.ktor.http.HttpMethod
-import io.ktor.network.selector.SelectorManager
 import kotlinx.coroutines.CoroutineScope
-import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.asCoroutineDispatcher
 import kotlinx.coroutines.cancel
@@ -37,7 +36,7 @@
     private val executor = Executors.newSingleThreadExecutor()
     private val dispatcher = executor.asCoroutineDispatcher()
     private val scope = CoroutineScope(SupervisorJob() + dispatcher)
-    private val selector = SelectorManager(Dispatchers.IO)
+    private val loop = EventLoop("sockets")
     private val launcher = ProcessLauncher()
     private val storeAddress = freeAddress()
     private val internalPort = FreePorts.next()
@@ -55,9 +54,9 @@
     /** Starts everything and waits until the entries are ready. */
     suspend fun start() {
         store.put("op/config", configuration(version = 1, "/check/"))
-        HttpServer.bind(storeAddress.host, storeAddress.port, selector, scope, store::answer)
+        HttpServer.bind(storeAddress.host, storeAddress.port, loop, scope, store::answer)
         for (agent in agents) {
-            HttpServer.bind(agent.address.host, agent.address.port, selector, scope, agent.upstream::answer)
+            HttpServer.bind(agent.address.host, agent.address.port, loop, scope, agent.upstream::answer)
         }
         nodes.forEach { it.start() }
         agents.indices.forEach { scope.launch { beat(it) } }
@@ -105,7 +104,7 @@
     override fun close() {
         launcher.close()
         scope.cancel()
-        selector.close()
+        loop.close()
         executor.shutdown()
     }
 
@@ -160,7 +159,7 @@
         body: String,
     ): HttpAnswer? =
         withContext(dispatcher) {
-            val caller = HttpCaller(address, selector, connectionLimit = 1)
+            val caller = HttpCaller(address, loop, connectionLimit = 1)
             try {
                 caller.call(method, path, body, CALL_MILLIS)
             } catch (failed: CallFailedException) {
