Pass entries their generator, and keep the stand-in's key in one place

The policies took a generator of their own by default, though decisions have no randomness but what they are given; the process passes it now. SoakFaults and PlatformPathTest wrote the configuration under the platform's key themselves; PlatformStandIn.configure does. EntryDialer's case for names without an address is gone, as connecting throws an IOException for them, which it has a case for. No change of behaviour; RunEntryTest, EntryDialerTest, PlatformPathTest.

--- a/egretlock-agent/src/main/kotlin/io/egretlock/agent/EntryDialer.kt
+++ b/egretlock-agent/src/main/kotlin/io/egretlock/agent/EntryDialer.kt
@@ -17,7 +17,6 @@
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import java.io.IOException
-import java.nio.channels.UnresolvedAddressException
 import kotlin.random.Random
 
 private val logger = KotlinLogging.logger {}
@@ -101,9 +100,6 @@
         } catch (unreachable: IOException) {
             logger.debug { "Entry at $address is unreachable: $unreachable" }
             null
-        } catch (unknown: UnresolvedAddressException) {
-            logger.debug { "Entry at $address has no known host: $unknown" }
-            null
         } catch (late: TimeoutCancellationException) {
             logger.debug { "Entry at $address does not answer: $late" }
             null
--- a/egretlock-core/src/main/kotlin/io/egretlock/core/run/StepJobPolicies.kt
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/run/StepJobPolicies.kt
@@ -10,8 +10,8 @@
     val reserve: RoomReserve,
 ) {
     companion object {
-        /** The policies in use; entries draw with [random]s of their own. */
-        fun standard(random: Random = Random.Default): StepJobPolicies =
+        /** The policies in use. Each entry draws with a [random] of its own. */
+        fun standard(random: Random): StepJobPolicies =
             StepJobPolicies(
                 RelativeSizeOrder(),
                 SlowestSufficientAgent(random),
--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/run/RunEntryProcess.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/run/RunEntryProcess.kt
@@ -31,6 +31,7 @@
 import kotlinx.coroutines.SupervisorJob
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import kotlin.random.Random
 
 private val logger = KotlinLogging.logger {}
 
@@ -43,7 +44,7 @@
     private val scope = CoroutineScope(SupervisorJob() + loop)
     private val identity = ProcessId(settings.nodeName, System.currentTimeMillis())
     private val address = NodeAddress(settings.host, settings.firstPort)
-    private val entry = RunEntry(StepJobPolicies.standard(), ::nowMillis, ::epochSeconds)
+    private val entry = RunEntry(StepJobPolicies.standard(Random.Default), ::nowMillis, ::epochSeconds)
     private val store = store(DIRECTORY_WATCH_MILLIS)
     private val directory = EntryDirectory(store, store)
     private val keeper =
--- a/egretlock-entry/src/test/kotlin/io/egretlock/entry/run/RunEntryTest.kt
+++ b/egretlock-entry/src/test/kotlin/io/egretlock/entry/run/RunEntryTest.kt
@@ -35,6 +35,7 @@
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Test
 import java.util.concurrent.atomic.AtomicLong
+import kotlin.random.Random
 
 @OptIn(ExperimentalCoroutinesApi::class)
 class RunEntryTest {
@@ -48,7 +49,7 @@
     @Test
     fun `given a job that waits, when others come in the instant of a tick, then each is held`() =
         runTest {
-            val entry = RunEntry(StepJobPolicies.standard(), { currentTime }, { 1_700_000_000 })
+            val entry = RunEntry(StepJobPolicies.standard(Random(1)), { currentTime }, { 1_700_000_000 })
             repeat(INSTANTS) { instant ->
                 launch {
                     delay(instant * RunEntry.TICK_MILLIS)
@@ -64,7 +65,7 @@
     fun `given an agent that connects anew, when its old connection is silent, then its runs start again`() =
         runBlocking {
             val now = AtomicLong()
-            val entry = RunEntry(StepJobPolicies.standard(), now::get, { 1_700_000_000 })
+            val entry = RunEntry(StepJobPolicies.standard(Random(1)), now::get, { 1_700_000_000 })
             withAgentLinks(entry) { connect ->
                 val old = connect()
                 entry.tell(submitted("a"))
--- a/egretlock-testing/src/main/kotlin/io/egretlock/testing/platform/PlatformStandIn.kt
+++ b/egretlock-testing/src/main/kotlin/io/egretlock/testing/platform/PlatformStandIn.kt
@@ -53,7 +53,7 @@
 
     /** Starts everything and waits until the entries are ready. */
     suspend fun start() {
-        store.put("op/config", configuration(version = 1, "/check/"))
+        configure(version = 1)
         HttpServer.bind(storeAddress.host, storeAddress.port, loop, scope, store::answer)
         for (agent in agents) {
             HttpServer.bind(agent.address.host, agent.address.port, loop, scope, agent.upstream::answer)
@@ -85,8 +85,13 @@
     suspend fun readiness(entry: PlatformEntry = entries.first()): Int? =
         call(entry.readiness, HttpMethod.Get, "/api/readiness", "")?.status
 
-    /** The document of a configuration whose only queue has [prefix] on all entries. */
-    fun configuration(
+    /** Puts a configuration in force whose only queue has [prefix] on all entries, as the operators do. */
+    fun configure(
+        version: Int,
+        prefix: String = "/check/",
+    ) = store.put("op/config", configuration(version, prefix))
+
+    private fun configuration(
         version: Int,
         prefix: String,
     ): String {
--- a/egretlock-testing/src/main/kotlin/io/egretlock/testing/soak/SoakFaults.kt
+++ b/egretlock-testing/src/main/kotlin/io/egretlock/testing/soak/SoakFaults.kt
@@ -54,7 +54,7 @@
             }
             kind == Kind.CONFIGURATION -> {
                 done += "$kind version ${++version}"
-                platform.store.put("op/config", platform.configuration(version, "/check/"))
+                platform.configure(version)
             }
         }
     }
--- a/egretlock-testing/src/test/kotlin/io/egretlock/testing/platform/PlatformPathTest.kt
+++ b/egretlock-testing/src/test/kotlin/io/egretlock/testing/platform/PlatformPathTest.kt
@@ -63,10 +63,10 @@
     fun `given a newer configuration, when it is stored, then its routes serve and removed ones do not exist`() =
         runBlocking {
             platform.start()
-            platform.store.put("op/config", platform.configuration(version = 7, "/other/"))
+            platform.configure(version = 7, "/other/")
             platform.until { platform.submit(id(1), prefix = "/other/")?.status == HTTP_OK }
             assertEquals(HTTP_NOT_FOUND, platform.submit(id(2))?.status)
-            platform.store.put("op/config", platform.configuration(version = 6, "/check/"))
+            platform.configure(version = 6)
             platform.submit(id(3), prefix = "/other/")
             assertEquals(HTTP_NOT_FOUND, platform.submit(id(4))?.status)
         }
