Test that the loss of a preferred entry is told to the next

RunAgentTest: two entries over loopback, the agent's reports name one, and the other once the first is lost. Renames a field of the simulation and moves one of FrameBuffer up; no change of behaviour.

--- /dev/null
+++ b/egretlock-agent/src/test/kotlin/io/egretlock/agent/run/RunAgentTest.kt
@@ -0,0 +1,128 @@
+package io.egretlock.agent.run
+
+import io.egretlock.core.job.FailureDomain
+import io.egretlock.core.job.ProcessId
+import io.egretlock.core.job.ServiceName
+import io.egretlock.core.roster.NodeAddress
+import io.egretlock.core.run.EntryPreference
+import io.egretlock.core.run.FencingToken
+import io.egretlock.core.run.KnownEntry
+import io.egretlock.core.run.RenewalAnswer
+import io.egretlock.core.run.RenewalResult
+import io.egretlock.core.run.Room
+import io.egretlock.core.run.RunId
+import io.egretlock.core.run.StartAnswer
+import io.egretlock.core.run.StopAnswer
+import io.egretlock.core.run.UpstreamLife
+import io.egretlock.core.run.UpstreamOrders
+import io.egretlock.core.run.UpstreamStatus
+import io.egretlock.protocol.Link
+import io.egretlock.protocol.LinkListener
+import io.egretlock.protocol.LinkTiming
+import io.egretlock.protocol.UpstreamReported
+import io.egretlock.sockets.EventLoop
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withTimeout
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Test
+
+class RunAgentTest {
+    private val loop = EventLoop("test")
+    private val scope = CoroutineScope(loop + Job())
+    private val agent = RunAgent(IdleUpstream, scope, FencingToken(1), AGENT, DOMAIN) { System.nanoTime() / 1_000_000 }
+    private val accepted = Channel<Link>(Channel.UNLIMITED)
+
+    @AfterEach
+    fun close() {
+        scope.cancel()
+        loop.close()
+    }
+
+    /** Connects the entry named [name]; returns the agent's end of the connection and the entry's. */
+    private suspend fun connect(
+        listener: LinkListener,
+        name: String,
+    ): Pair<Link, Link> {
+        val near = Link.dial(NodeAddress("127.0.0.1", listener.port), loop, scope, PATIENT)
+        agent.tell(RunAgentInput.EntryConnected(known(name), near))
+        return near to accepted.receive()
+    }
+
+    /** What the next report of an upstream says; until one is known, reports say that there is none. */
+    private suspend fun Link.isPreferred(): Boolean {
+        while (true) (incoming.receive() as UpstreamReported).report?.let { return it.isPreferred }
+    }
+
+    @Test
+    fun `given two entries, when the preferred one is lost, then the other is told that it is preferred`() =
+        runBlocking {
+            withTimeout(DEADLINE_MILLIS) {
+                val listener = LinkListener.bind(NodeAddress("127.0.0.1", 0), loop, scope, PATIENT, accepted::send)
+                val names = listOf("entry-1", "entry-2")
+                val preferred = EntryPreference.preferred(AGENT, DOMAIN, names.map { known(it) })
+                val ends = names.associateWith { connect(listener, it) }
+                agent.tell(RunAgentInput.Announced(STATUS))
+                scope.launch { agent.run() }
+
+                val told = ends.mapValues { (_, end) -> end.second.isPreferred() }
+                assertEquals(names.associateWith { it == preferred?.name }, told)
+
+                val (lost, other) = names.partition { it == preferred?.name }
+                agent.tell(RunAgentInput.EntryLost(ends.getValue(lost.single()).first))
+                assertEquals(true, ends.getValue(other.single()).second.isPreferred())
+            }
+        }
+
+    /** An upstream on which nothing runs. */
+    private object IdleUpstream : UpstreamOrders {
+        override suspend fun start(
+            run: RunId,
+            specification: String,
+            deadlineClockMillis: Long,
+            fencingToken: Long,
+        ): StartAnswer = error("Nothing is ordered.")
+
+        override suspend fun stop(
+            run: RunId,
+            fencingToken: Long,
+        ): StopAnswer = error("Nothing is ordered.")
+
+        override suspend fun renew(
+            deadlineClockMillis: Long?,
+            lastEnd: Long,
+            waitMillis: Long,
+            fencingToken: Long,
+        ): RenewalResult {
+            delay(1)
+            return RenewalResult.Answered(RenewalAnswer(STARTED_AT, clockMillis = 10_000, emptyList(), emptyList()))
+        }
+    }
+
+    private companion object {
+        const val AGENT = "agent"
+        const val DEADLINE_MILLIS = 60_000L
+        const val STARTED_AT = 5L
+        val DOMAIN = FailureDomain("marka")
+
+        /** No connection of these tests ends by silence, however busy the machine is. */
+        val PATIENT = LinkTiming(silenceMillis = 120_000)
+        val STATUS =
+            UpstreamStatus(
+                UpstreamLife("upstream", STARTED_AT),
+                ServiceName("s"),
+                "127.0.0.1:1",
+                Room(8_000, 512),
+                isDraining = false,
+                sequence = 1,
+            )
+
+        fun known(name: String) = KnownEntry(ProcessId(name, 1), DOMAIN)
+    }
+}
--- a/egretlock-bench/src/main/kotlin/io/egretlock/bench/steps/StepSimulation.kt
+++ b/egretlock-bench/src/main/kotlin/io/egretlock/bench/steps/StepSimulation.kt
@@ -57,7 +57,7 @@
 ) {
     private val events = EventQueue()
     private val homes = List(entries) { StepJobHome(AgentRooms(), policies(Random(it)), epochSeconds = { 1 }) }
-    private val entryNames = List(entries) { KnownEntry(ProcessId("entry-$it", 1), domain(it)) }
+    private val knownEntries = List(entries) { KnownEntry(ProcessId("entry-$it", 1), domain(it)) }
     private val agents = upstreams.map { Agent(it) }
     private val arrived = HashMap<String, ArrivingJob>()
     private val results = mutableListOf<JobResult>()
@@ -133,7 +133,7 @@
         private val speed = SpeedEstimate()
         private val seen = HashMap<Int, Long>()
         private val running = HashMap<RunId, Room>()
-        private val preferred = EntryPreference.preferred(id.name, domain, entryNames)
+        private val preferred = EntryPreference.preferred(id.name, domain, knownEntries)
         private val pacing = homes.map { ReportPacing() }
 
         fun order(
@@ -161,7 +161,7 @@
         private fun report() {
             val common = UpstreamReport(upstream.name, CrestLoad.SERVICE, total, free, speed.speed, accepting = true)
             homes.forEachIndexed { home, decisions ->
-                val report = common.copy(isPreferred = entryNames[home].entry == preferred)
+                val report = common.copy(isPreferred = knownEntries[home].entry == preferred)
                 val covered = seen[home] ?: 0
                 if (pacing[home].isDue(report, covered, homes.size, nowMillis.toLong())) {
                     at(nowMillis + DELAY_MILLIS) {
--- a/egretlock-protocol/src/main/kotlin/io/egretlock/protocol/FrameBuffer.kt
+++ b/egretlock-protocol/src/main/kotlin/io/egretlock/protocol/FrameBuffer.kt
@@ -13,6 +13,9 @@
 ) {
     private var bytes = ByteBuffer.allocate(INITIAL_BYTES).flip()
 
+    /** Whether [bytes] is being written to, so that its position is the end of what came in. */
+    private var isFilling = false
+
     /** Room for further bytes, to be read into at its position; valid until [next] is called. */
     fun space(): ByteBuffer {
         bytes =
@@ -37,8 +40,6 @@
         return ByteArray(length).also { bytes.get(it) }
     }
 
-    private var isFilling = false
-
     private companion object {
         /** Holds a few of the usual messages, which have some ten to some hundred bytes. */
         const val INITIAL_BYTES = 1_024
