--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/Main.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/Main.kt
@@ -18,6 +18,7 @@
   serve    Runs the entry on the users' platform, with the settings file that the platform provides.
   check    Checks the settings and prints every fault.
   dump     Prints the state of a running entry as JSON.
+  explain  Prints what log files of entries and agents say about one job: explain JOB FILE...
 
   settings get    Prints a team's settings in force as YAML, with their revision.
   settings put    Checks a team's settings in a YAML file, then stores them on top of a revision.
@@ -33,6 +34,7 @@
         command("serve") { serve() }
         command("check", ::check)
         command("dump", ::dump)
+        command("explain") { arguments -> ExplainCommand(commandLine).run(arguments) }
         command("settings") { flags -> SettingsCommand(commandLine).run(flags) }
     }
 
--- /dev/null
+++ b/egretlock-process/src/main/kotlin/io/egretlock/process/explain/EventMeanings.kt
@@ -0,0 +1,26 @@
+package io.egretlock.process.explain
+
+/** What the numbers of events mean, by the catalogue docs/EVENTS.md, which the build puts beside this class. */
+class EventMeanings internal constructor(
+    catalogue: String,
+) {
+    private val meanings =
+        catalogue
+            .lineSequence()
+            .mapNotNull { ROW.find(it) }
+            .associate { row -> row.groupValues[1].toInt() to row.groupValues[2] }
+
+    /** Meaning of the event with this [number]. */
+    fun of(number: Int): String = meanings[number] ?: "(a number that this version does not know)"
+
+    companion object {
+        private val ROW = Regex("""^\| (\d{4}) \| \w+ \| (.+?) \|""")
+
+        /** Reads the catalogue of this version. */
+        fun load(): EventMeanings {
+            val catalogue =
+                checkNotNull(EventMeanings::class.java.getResource("EVENTS.md")) { "EVENTS.md is not packed." }
+            return EventMeanings(catalogue.readText())
+        }
+    }
+}
--- /dev/null
+++ b/egretlock-process/src/test/kotlin/io/egretlock/process/explain/JobStoryTest.kt
@@ -0,0 +1,51 @@
+package io.egretlock.process.explain
+
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertNull
+import org.junit.jupiter.api.Test
+
+class JobStoryTest {
+    private val meanings = EventMeanings("| 1540 | INFO | A job was taken. | |\n| 1511 | WARN | Agent lost. | Look. |")
+
+    private fun line(
+        source: String,
+        timeMillis: Long,
+        event: Int,
+        level: String = "INFO",
+        vararg fields: Pair<String, String>,
+    ) = LogLine(source, timeMillis, level, event, mapOf(*fields))
+
+    private val lines =
+        listOf(
+            line("agent", 120, 2541, fields = arrayOf("run" to "a.0.0#1", "end" to "SUCCEEDED")),
+            line("agent", 110, 2541, fields = arrayOf("run" to "b.0.0#1")),
+            line("entry", 100, 1540, fields = arrayOf("job" to "a", "tasks" to "1")),
+            line("entry", 115, 1511, "WARN", "agent" to "agent@1"),
+            line("entry", 116, 3003, "WARN", "call" to "run-start", "run" to "b.0.0#1"),
+            line("entry", 119, 1512, fields = arrayOf("agent" to "agent@1")),
+            line("entry", 121, 1511, "WARN", "agent" to "agent@2"),
+            line("other", 118, 1511, "WARN", "agent" to "agent@1"),
+        )
+
+    @Test
+    fun `a story has the job's lines in order, and what its processes warned of meanwhile`() {
+        val story = JobStory.ofOrNull("a", lines)
+        assertEquals(listOf(1540, 1511, 2541), story?.lines?.map { it.event })
+        assertEquals(listOf("entry", "entry", "agent"), story?.lines?.map { it.source })
+    }
+
+    @Test
+    fun `a story is told with meanings and with times since its first line`() {
+        val expected =
+            """
+            Job a: 3 lines of 2 processes, 20 ms
+                  0 ms  entry  1540 A job was taken. tasks=1
+                 15 ms  entry  WARN 1511 Agent lost. agent=agent@1
+                 20 ms  agent  2541 (a number that this version does not know) run=a.0.0#1 end=SUCCEEDED
+            """.trimIndent()
+        assertEquals(expected, JobStory.ofOrNull("a", lines)?.describe(meanings))
+    }
+
+    @Test
+    fun `a job that no line is about has no story`() = assertNull(JobStory.ofOrNull("c", lines))
+}
