Wait less for ends while anything runs

Change: renewals wait 50 ms while anything runs, and 200 ms while nothing does; a lost answer then hides an end for 200 ms. The time for the answer stays 150 ms, so that slow upstreams are not given up sooner. RunLedgerTest: the wait by what runs.

--- a/egretlock-agent/src/main/kotlin/io/egretlock/agent/run/RunAgent.kt
+++ b/egretlock-agent/src/main/kotlin/io/egretlock/agent/run/RunAgent.kt
@@ -179,7 +179,7 @@
                 orders.renew(
                     ledger.renewalDeadlineClockMillis(nowMillis()),
                     ledger.lastEnd,
-                    RENEWAL_WAIT_MILLIS,
+                    ledger.renewalWaitMillis,
                     token,
                 )
             tell(RunAgentInput.Renewed(number, result, token))
@@ -265,9 +265,6 @@
     private companion object {
         const val TICK_MILLIS = 50L
 
-        /** Time that a renewal waits for an end; short enough that a lost answer does not let a lease run out. */
-        const val RENEWAL_WAIT_MILLIS = 200L
-
         /** Pause after a renewal without an answer. */
         const val RETRY_MILLIS = 10L
 
--- a/egretlock-core/src/main/kotlin/io/egretlock/core/run/RunLedger.kt
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/run/RunLedger.kt
@@ -36,6 +36,13 @@
         return if (mayRenew) upstream.leaseDeadlineClockMillis else null
     }
 
+    /**
+     * Time that the next renewal may wait at the upstream for an end. Ends are heard of by these answers alone, so that a
+     * lost one hides them until the renewal is given up; the wait is therefore short while anything runs.
+     */
+    val renewalWaitMillis: Long
+        get() = if (runs.isEmpty()) IDLE_WAIT_MILLIS else BUSY_WAIT_MILLIS
+
     /** Report for the entries; null while no upstream can take or holds runs. */
     fun report(): UpstreamReport? {
         val known = upstream.status ?: return null
@@ -281,6 +288,12 @@
          */
         const val STANDSTILL_MILLIS = 800L
 
+        /** Wait of a renewal while nothing runs; short enough that a lost answer does not let a lease run out. */
+        const val IDLE_WAIT_MILLIS = 200L
+
+        /** Wait of a renewal while something runs: less than the shortest tasks take, about 70 ms. */
+        const val BUSY_WAIT_MILLIS = 50L
+
         /** Time for an acknowledgement of a stop; an upstream on the same machine answers within a few. */
         const val STOP_RETRY_MILLIS = 100L
 
--- a/egretlock-core/src/test/kotlin/io/egretlock/core/run/RunLedgerTest.kt
+++ b/egretlock-core/src/test/kotlin/io/egretlock/core/run/RunLedgerTest.kt
@@ -54,6 +54,16 @@
 
     private fun List<LedgerEffect>.told() = filterIsInstance<LedgerEffect.Tell>().single().end
 
+    @Test
+    fun `renewals wait less while something runs, so that a lost answer hides its end for a shorter time`() {
+        ready()
+        assertEquals(RunLedger.IDLE_WAIT_MILLIS, ledger.renewalWaitMillis)
+        order()
+        assertEquals(RunLedger.BUSY_WAIT_MILLIS, ledger.renewalWaitMillis)
+        renewed(ended = listOf(EndedRun(1, run("a"), RunEnd.SUCCEEDED)))
+        assertEquals(RunLedger.IDLE_WAIT_MILLIS, ledger.renewalWaitMillis)
+    }
+
     @Test
     fun `no upstream is reported before runs of an earlier agent are gone`() {
         ledger.announced(status())
