Bound what is parsed from other writers, and skip what can't be read

Cause: readers of bytes from other programs passed them to recursive parsers without a bound. A heartbeat with 20,000 nested lists overflowed the agent's 256 KB stack, which ends an essential coroutine and so the process; 20,000 steps of 10,000 tasks, or a frame that declares a list of 2^31 elements, exhaust the heap. One odd item ended the read or the watch of all the others. Numbers were cut to 32 bits or taken with any sign, ports above 65535 and empty names were accepted. A listed name such as 999.0.0.9 was looked up on the event loop's thread.

Change: JsonBounds and CborBounds check nesting, number of values and declared lengths before parsing. Decoders check ranges. PlatformStore leaves out items and events that can't be read and logs their key. A job has at most 10,000 tasks. Settings check ports and seconds, and keep fractions. Events are logged within a budget per second, so that a faulty writer can't flood the log. Rows of the upstream's lists still make the whole answer unreadable: a run that is left out would count as ended.

After: all green, with PlatformPathTest's odd entries written again and again beside jobs.

Ruled out: parsing on a thread with a larger stack moves the limit only; catching StackOverflowError leaves the parser's memory use unbounded.

--- a/egretlock-core/src/main/kotlin/io/egretlock/core/roster/Roster.kt
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/roster/Roster.kt
@@ -37,7 +37,8 @@
     override fun toString(): String = "$host:$port"
 
     companion object {
-        private const val LARGEST_PORT = 65_535
+        /** Largest TCP port. */
+        const val LARGEST_PORT = 65_535
 
         /** Reads `host:port`; null if [text] is not of that form. */
         fun parse(text: String): NodeAddress? {
--- a/egretlock-process/src/main/kotlin/io/egretlock/process/Event.kt
+++ b/egretlock-process/src/main/kotlin/io/egretlock/process/Event.kt
@@ -2,6 +2,7 @@
 
 import io.github.oshai.kotlinlogging.KLogger
 import io.github.oshai.kotlinlogging.Level
+import java.util.concurrent.ConcurrentHashMap
 
 /** A numbered log event. Each program has its own enum of events; docs/EVENTS.md lists all of them. */
 interface Event {
@@ -13,15 +14,31 @@
 
     /** Description of the event without its fields. */
     val meaning: String
+
+    /**
+     * Largest number of lines of this event that a process writes in a second. The next line after a gap names in
+     * `omittedLines` how many were left out.
+     */
+    val linesPerSecond: Int
+        get() = DEFAULT_LINES_PER_SECOND
 }
 
-/** Logs [event] with [fields], both in the message and as the payload. */
+/** Above the rate of any event of a process at its peak load, so that only a fault exceeds it. */
+private const val DEFAULT_LINES_PER_SECOND = 1_000
+
+private val budgets = ConcurrentHashMap<Int, LineBudget>()
+
+/** Logs [event] with [fields], both in the message and as the payload, within the event's budget. */
 fun KLogger.event(
     event: Event,
     vararg fields: Pair<String, Any?>,
 ) {
+    val omitted =
+        budgets.computeIfAbsent(event.number) { LineBudget(event.linesPerSecond) }.omittedBeforeLine() ?: return
     at(event.level) {
         message = "${event.number} ${event.meaning}" + fields.joinToString("") { (name, value) -> " $name=$value" }
-        payload = mapOf("event" to event.number) + fields.toMap()
+        payload = mapOf("event" to event.number) + fields.toMap() + omittedField(omitted)
     }
 }
+
+private fun omittedField(count: Long): Map<String, Any?> = if (count > 0) mapOf("omittedLines" to count) else emptyMap()
--- a/egretlock-protocol/src/main/kotlin/io/egretlock/protocol/MessageCodec.kt
+++ b/egretlock-protocol/src/main/kotlin/io/egretlock/protocol/MessageCodec.kt
@@ -14,6 +14,12 @@
     /** Encodes [message] as a frame body. */
     fun encode(message: Message): ByteArray = cbor.encodeToByteArray(serializer, message)
 
-    /** Decodes a frame body; throws [kotlinx.serialization.SerializationException] if it is not a known message. */
-    fun decode(bytes: ByteArray): Message = cbor.decodeFromByteArray(serializer, bytes)
+    /**
+     * Decodes a frame body. Throws [java.io.IOException] if it exceeds [CborBounds], and
+     * [kotlinx.serialization.SerializationException] if it is not a known message.
+     */
+    fun decode(bytes: ByteArray): Message {
+        CborBounds.check(bytes)
+        return cbor.decodeFromByteArray(serializer, bytes)
+    }
 }
--- a/egretlock-sockets/src/main/kotlin/io/egretlock/sockets/LoopSocket.kt
+++ b/egretlock-sockets/src/main/kotlin/io/egretlock/sockets/LoopSocket.kt
@@ -81,9 +81,8 @@
 
         /** Resolves host names on a thread that may block; literal IP addresses need no lookup. */
         private suspend fun resolve(address: NodeAddress): InetSocketAddress {
-            val isLiteral = address.host.first().isDigit() || ':' in address.host
             val resolved =
-                if (isLiteral) {
+                if (isLiteralAddress(address.host)) {
                     InetSocketAddress(address.host, address.port)
                 } else {
                     withContext(Dispatchers.IO) { InetSocketAddress(address.host, address.port) }
@@ -91,6 +90,15 @@
             if (resolved.isUnresolved) throw UnknownHostException("${address.host} has no known address.")
             return resolved
         }
+
+        /** Whether [host] is a valid IPv4 address, or an IPv6 address, which is the only kind that has colons. */
+        private fun isLiteralAddress(host: String): Boolean {
+            val parts = host.split('.')
+            val isVersion4 = parts.size == VERSION_4_PARTS && parts.all { it.toUByteOrNull() != null }
+            return isVersion4 || ':' in host
+        }
+
+        private const val VERSION_4_PARTS = 4
     }
 
     private suspend fun finishConnecting(remote: InetSocketAddress) {
--- a/egretlock-testing/src/main/kotlin/io/egretlock/testing/platform/PlatformStoreStandIn.kt
+++ b/egretlock-testing/src/main/kotlin/io/egretlock/testing/platform/PlatformStoreStandIn.kt
@@ -41,6 +41,14 @@
         items[key] = Item(Base64.getEncoder().encodeToString(value.encodeToByteArray()), revision.incrementAndGet())
     }
 
+    /** Writes a value whose encoding is broken: [encoded] is stored as it is, without being base64. */
+    fun putEncoded(
+        key: String,
+        encoded: String,
+    ) {
+        items[key] = Item(encoded, revision.incrementAndGet())
+    }
+
     /** Answers one call. */
     suspend fun answer(request: HttpRequest): HttpResponse {
         if (isDown) return HttpResponse(HTTP_UNAVAILABLE)
--- a/egretlock-testing/src/test/kotlin/io/egretlock/testing/platform/PlatformPathTest.kt
+++ b/egretlock-testing/src/test/kotlin/io/egretlock/testing/platform/PlatformPathTest.kt
@@ -41,6 +41,28 @@
             assertEquals(HTTP_OK, platform.submit(id(1))?.status)
         }
 
+    @Test
+    fun `given odd entries that are written again and again, when jobs come, then no process ends and jobs complete`() =
+        runBlocking {
+            platform.start()
+            repeat(ODD_ROUNDS) { round ->
+                writeOddEntries(round)
+                assertEquals("""{"state":"completed"}""", platform.submit(id(round))?.body)
+            }
+            platform.configure(version = 7, "/other/")
+            platform.awaitUntil { platform.submit(id(ODD_ROUNDS), prefix = "/other/")?.status == HTTP_OK }
+            assertTrue(platform.nodes.all { it.process.isAlive })
+        }
+
+    private suspend fun writeOddEntries(round: Int) {
+        for (value in oddValues) {
+            platform.store.put("egretlock/entries/odd-$round", value)
+            platform.store.putEncoded("egretlock/entries/broken-$round", value)
+            platform.store.put("op/config", value)
+            assertEquals(HTTP_BAD_REQUEST, platform.heartbeat("u-odd", value))
+        }
+    }
+
     @Test
     fun `given a store that is down and an agent that was killed, when jobs come, then they are completed`() =
         runBlocking {
@@ -113,5 +135,24 @@
         const val HTTP_OK = 200
         const val HTTP_BAD_REQUEST = 400
         const val HTTP_NOT_FOUND = 404
+        const val ODD_ROUNDS = 10
+        const val LEVELS = 20_000
+        const val REPORT = """{"service":"s","address":"10.0.0.9:80","state":"ready","seq_no":1,"capacity":"""
+
+        val oddValues =
+            listOf(
+                "",
+                "[".repeat(LEVELS) + "]".repeat(LEVELS),
+                "{\"a\":".repeat(LEVELS) + "0" + "}".repeat(LEVELS),
+                "10.0.0.9:99999",
+                "10.0.0.9:99999999999999999999999999",
+                "999.0.0.9:80",
+                "$REPORT{\"cpu\":99999999999999999999999999}}",
+                "$REPORT{\"cpu\":9223372036854775807}}",
+                "$REPORT{\"cpu\":-5}}",
+                "$REPORT${"[".repeat(LEVELS)}",
+                """{"version":9223372036854775808,"routes":[]}""",
+                """{"version":99,"routes":[{"name":"q","host":"h","prefix":"/","service":"s","attempts":99999999999}]}""",
+            )
     }
 }
