Send fewer heartbeats and reports between entries and agents, and place once a batch

Cause: with 15 entries and 80 agents, 1200 connections exchange 16,000 heartbeats a second, and under load each agent tells each entry its room every 100 ms, 12,000 reports a second; every report and every end of a run causes a placement over all waiting jobs and all agents.

Change: a connection has frequent heartbeats (150 ms, lost after 600 ms) only while it is busy, that is while it carries runs or has for a second; an idle one has 600 ms and 2 s, since no run on it has to be stopped. Each end says in its heartbeats that it is busy. Entries that an agent does not prefer get its room every 30 ms for each entry, at most every second, in place of 10 ms and 100 ms. Entries among themselves: 600 ms and 2 s in place of 300 ms and 1 s. The scheduler places once after a batch of reports and ends. Agents tick only while they have runs or a report waits. The fastest speed is kept between reports.

The bound of a run of a lost home stays: an agent is busy from the order on, and its silence is measured from there. Given up: a connection that went silent while idle is noticed after 2 s, or 600 ms after the next order, in place of 600 ms. ReportPacingTest: its eleven-entry cases are now of the preferred entry, with the same bound; one of the others is new.

--- a/egretlock-agent/src/main/kotlin/io/egretlock/agent/run/EntryConnector.kt
+++ b/egretlock-agent/src/main/kotlin/io/egretlock/agent/run/EntryConnector.kt
@@ -5,9 +5,9 @@
 import io.egretlock.core.roster.NodeAddress
 import io.egretlock.core.run.ConnectedEntry
 import io.egretlock.protocol.Link
-import io.egretlock.protocol.LinkTiming
 import io.egretlock.protocol.RunAgentHello
 import io.egretlock.protocol.RunEntryHello
+import io.egretlock.protocol.RunLinkTiming
 import io.egretlock.sockets.EventLoop
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
@@ -81,12 +81,7 @@
     }
 
     private companion object {
-        /**
-         * Agent and entry both detect a silent connection after `silenceMillis`. The callers of an unreachable entry
-         * notice at the same time and repeat their requests 1300 ms later; well before that, the agent has stopped the
-         * runs of that entry.
-         */
-        val TIMING = LinkTiming(heartbeatMillis = 150, silenceMillis = 600, connectMillis = 500)
+        val TIMING = RunLinkTiming.TIMING
         const val MIN_RECONNECT_DELAY_MILLIS = 50L
         const val MAX_RECONNECT_DELAY_MILLIS = 500L
 
--- a/egretlock-agent/src/main/kotlin/io/egretlock/agent/run/RunAgent.kt
+++ b/egretlock-agent/src/main/kotlin/io/egretlock/agent/run/RunAgent.kt
@@ -47,6 +47,7 @@
     private val entries = LinkedHashMap<Link, EntryState>()
     private var lastReport: UpstreamReport? = null
     private var preferredEntry: ProcessId? = null
+    private var isTickScheduled = false
 
     /** Number of runs that have not ended. */
     val runCount: Int
@@ -59,7 +60,6 @@
 
     /** Processes inputs until cancelled. */
     suspend fun run() {
-        scope.launch { tickForever() }
         renewAfter(0)
         for (input in inbox) {
             handle(input)
@@ -68,17 +68,27 @@
                 handle(next)
                 next = inbox.tryReceive().getOrNull()
             }
-            report()
+            markBusyLinks()
+            val hasReportPending = report()
+            if (hasReportPending || ledger.size > 0) scheduleTick()
         }
     }
 
-    private suspend fun tickForever() {
-        while (true) {
+    /** Schedules the next tick, unless one is scheduled. An idle agent has none, so that it uses little processor time. */
+    private fun scheduleTick() {
+        if (isTickScheduled) return
+        isTickScheduled = true
+        scope.launch {
             delay(TICK_MILLIS)
             tell(RunAgentInput.Tick)
         }
     }
 
+    private fun markBusyLinks() {
+        val busyEntries = ledger.entries
+        for ((link, state) in entries) if (state.entry in busyEntries) link.markBusy()
+    }
+
     private fun handle(input: RunAgentInput) {
         val now = nowMillis()
         when (input) {
@@ -90,7 +100,10 @@
             is RunAgentInput.StartAnswered -> onStartAnswered(input, now)
             is RunAgentInput.StopAnswered -> onStopAnswered(input)
             is RunAgentInput.RenewalEnded -> onRenewalEnded(input, now)
-            RunAgentInput.Tick -> perform(ledger.tick(now))
+            RunAgentInput.Tick -> {
+                isTickScheduled = false
+                perform(ledger.tick(now))
+            }
             RunAgentInput.Drain -> ledger.drain()
         }
     }
@@ -240,18 +253,25 @@
         }
     }
 
-    private fun report() {
+    /** Sends the reports that are due; returns whether a changed report waits to be sent. */
+    private fun report(): Boolean {
         val report = ledger.report()
         if (report?.copy(free = lastReport?.free ?: report.free, speed = 0.0) != lastReport?.copy(speed = 0.0)) {
             logger.event(RunAgentEvent.UPSTREAM_CHANGED, "report" to report)
         }
         lastReport = report
         val now = nowMillis()
+        val preferredReport = report?.copy(isPreferred = true)
+        var isPending = false
         for ((link, state) in entries) {
-            val entryReport = report?.copy(isPreferred = state.entry == preferredEntry)
-            val isDue = state.pacing.isDue(entryReport, state.seenSequence, entries.size, now)
-            if (isDue) link.send(UpstreamReported(entryReport, state.seenSequence))
+            val entryReport = if (state.entry == preferredEntry) preferredReport else report
+            when (state.pacing.next(entryReport, state.seenSequence, entries.size, now)) {
+                ReportPacing.Next.SEND -> link.send(UpstreamReported(entryReport, state.seenSequence))
+                ReportPacing.Next.WAIT -> isPending = true
+                ReportPacing.Next.UNCHANGED -> Unit
+            }
         }
+        return isPending
     }
 
     private class EntryState(
--- a/egretlock-bench/src/main/kotlin/io/egretlock/bench/steps/StepSimulation.kt
+++ b/egretlock-bench/src/main/kotlin/io/egretlock/bench/steps/StepSimulation.kt
@@ -70,6 +70,10 @@
     var orderedStarts = 0
         private set
 
+    /** Number of reports that the agents sent. */
+    var sentReports = 0
+        private set
+
     /** Number of starts that the agents refused for lack of room. */
     var refusedStarts = 0
         private set
@@ -164,7 +168,9 @@
             schedulers.forEachIndexed { home, scheduler ->
                 val report = common.copy(isPreferred = connectedEntries[home].entry == preferred)
                 val covered = lastSequences[home] ?: 0
-                if (pacing[home].isDue(report, covered, schedulers.size, nowMillis.toLong())) {
+                val next = pacing[home].next(report, covered, schedulers.size, nowMillis.toLong())
+                if (next == ReportPacing.Next.SEND) {
+                    sentReports++
                     at(nowMillis + DELAY_MILLIS) {
                         perform(home, scheduler.onAgentReported(id, domain, report, covered, nowMillis.toLong()))
                     }
--- a/egretlock-core/src/main/kotlin/io/egretlock/core/run/AgentRooms.kt
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/run/AgentRooms.kt
@@ -17,6 +17,9 @@
     private val probes = HashSet<ProcessId>()
     private val connectedAtMillis = HashMap<ProcessId, Long>()
 
+    /** Speeds by service, kept until the next report, since a placement needs them for each waiting job. */
+    private val fastestSpeeds = HashMap<ServiceName, Double>()
+
     /** Agents that have reported an upstream. */
     val all: Collection<AgentRoom>
         get() = agents.values
@@ -50,6 +53,7 @@
     ) {
         circuitBreaker.add(agent)
         connectedAtMillis.remove(agent)
+        fastestSpeeds.clear()
         val room = agents.getOrPut(agent) { AgentRoom(agent, failureDomain, report) }
         room.update(report, seenSequence)
     }
@@ -63,6 +67,7 @@
     /** Records that [agent] has no upstream, or none yet. */
     fun removeUpstream(agent: ProcessId) {
         agents.remove(agent)
+        fastestSpeeds.clear()
         probes.remove(agent)
         circuitBreaker.forget(agent)
     }
@@ -90,6 +95,14 @@
         }
     }
 
+    /** Highest speed of the upstreams of [service] that accept runs, with or without room; 1 if there are none. */
+    fun fastestSpeed(service: ServiceName): Double =
+        fastestSpeeds.getOrPut(service) {
+            agents.values
+                .filter { it.report.service == service && it.report.accepting }
+                .maxOfOrNull { it.report.speed } ?: 1.0
+        }
+
     /** Records that [agent] was given a run, which uses up its probe if it is suspended. */
     fun useProbe(agent: ProcessId) {
         probes.remove(agent)
--- a/egretlock-core/src/main/kotlin/io/egretlock/core/run/ReportPacing.kt
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/run/ReportPacing.kt
@@ -7,12 +7,16 @@
  * the product of agents and entries, and reading them would use up the processor of small entries. Reports are
  * therefore sent at once only for changes by the entry's own orders and runs and for changes that decide whether the
  * entry may order at all. Room that other entries take and release is reported at an interval that grows with the
- * number of entries, so that an agent's message rate does not depend on it. An entry that orders room which is no
- * longer free loses one round trip to a refusal.
+ * number of entries, so that an agent's message rate does not depend on it. The interval is longer for an entry that the
+ * agent does not prefer (see [EntryPreference]), which orders from this agent only if its own ones are full. An entry
+ * that orders room which is no longer free loses one round trip to a refusal.
  *
  * Times are in milliseconds of a monotonic clock.
  */
 class ReportPacing {
+    /** What to do with the present report. */
+    enum class Next { SEND, WAIT, UNCHANGED }
+
     private var lastSent: SentReport? = null
     private var sentAtMillis = 0L
     private var isReportRequested = false
@@ -23,29 +27,37 @@
     }
 
     /**
-     * Whether [report], which covers the entry's orders up to [seenSequence], is to be sent now. If so, it is recorded
-     * as sent.
+     * Decides whether [report], which covers the entry's orders up to [seenSequence], is sent now, has to wait for a
+     * later call, or equals the last one that was sent. If it is to be sent, it is recorded as sent.
      *
      * @param entryCount number of connected entries, at least 1.
      */
-    fun isDue(
+    fun next(
         report: UpstreamReport?,
         seenSequence: Long,
         entryCount: Int,
         nowMillis: Long,
-    ): Boolean {
+    ): Next {
         val current = SentReport(report, seenSequence)
-        if (current == lastSent) return false
-        val interval = (MILLIS_PER_ENTRY * entryCount).coerceAtMost(LONGEST_INTERVAL_MILLIS)
-        val isDue = isReportRequested || isUrgent(report) || nowMillis - sentAtMillis >= interval
-        if (isDue) {
-            lastSent = current
-            sentAtMillis = nowMillis
-            isReportRequested = false
-        }
-        return isDue
+        if (current == lastSent) return Next.UNCHANGED
+        val interval = intervalMillis(report?.isPreferred ?: false, entryCount)
+        if (!isReportRequested && !isUrgent(report) && nowMillis - sentAtMillis < interval) return Next.WAIT
+        lastSent = current
+        sentAtMillis = nowMillis
+        isReportRequested = false
+        return Next.SEND
     }
 
+    private fun intervalMillis(
+        isPreferred: Boolean,
+        entryCount: Int,
+    ): Long =
+        if (isPreferred) {
+            (MILLIS_PER_ENTRY * entryCount).coerceAtMost(LONGEST_INTERVAL_MILLIS)
+        } else {
+            (OTHERS_MILLIS_PER_ENTRY * entryCount).coerceAtMost(OTHERS_LONGEST_INTERVAL_MILLIS)
+        }
+
     /** Whether [report] differs from the last one in more than free room and speed. */
     private fun isUrgent(report: UpstreamReport?): Boolean {
         val previous = lastSent?.report
@@ -59,13 +71,16 @@
     )
 
     private companion object {
-        /**
-         * Interval per connected entry, in milliseconds; an agent sends about 100 such reports a second over all
-         * entries.
-         */
+        /** Interval per connected entry, in milliseconds, for the entry that the agent prefers. */
         const val MILLIS_PER_ENTRY = 10L
 
-        /** Longest interval, in milliseconds; short tasks can wait this long. */
+        /** Longest interval, in milliseconds, for that entry; short tasks can wait this long. */
         const val LONGEST_INTERVAL_MILLIS = 100L
+
+        /** The same for other entries; an agent sends about 33 such reports a second over all of them. */
+        const val OTHERS_MILLIS_PER_ENTRY = 30L
+
+        /** Longest interval, in milliseconds, for other entries. */
+        const val OTHERS_LONGEST_INTERVAL_MILLIS = 1_000L
     }
 }
--- a/egretlock-core/src/main/kotlin/io/egretlock/core/run/RunLedger.kt
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/run/RunLedger.kt
@@ -33,6 +33,10 @@
     val size: Int
         get() = runs.size
 
+    /** Entries that ordered the runs that have not ended. */
+    val entries: Set<ProcessId>
+        get() = runs.values.mapTo(HashSet()) { it.entry }
+
     /**
      * Returns the deadline that the next renewal carries; null if it must not renew the lease. A renewal extends the
      * lease of all active runs, so there is none while runs of an earlier agent may be active or a stop has no effect;
--- a/egretlock-core/src/main/kotlin/io/egretlock/core/run/StepJobPlacer.kt
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/run/StepJobPlacer.kt
@@ -28,7 +28,7 @@
 
     /** Returns the time by which a job must start to meet its latency objective on the fastest upstream. */
     fun latestStart(job: ActiveJob): Double {
-        val fastestSpeed = fastestSpeed(job)
+        val fastestSpeed = rooms.fastestSpeed(job.queue.service)
         val longestTaskMillis = job.job.steps.maxOfOrNull { expectedMillis(job, it) } ?: 0.0
         return job.objectiveAtMillis - longestTaskMillis / fastestSpeed - ROUND_TRIP_MILLIS
     }
@@ -48,11 +48,6 @@
         return inUse
     }
 
-    private fun fastestSpeed(job: ActiveJob): Double =
-        rooms.all
-            .filter { it.report.service == job.queue.service && it.report.accepting }
-            .maxOfOrNull { it.report.speed } ?: 1.0
-
     private fun placeJob(
         job: ActiveJob,
         available: List<AgentRoom>,
--- a/egretlock-core/src/main/kotlin/io/egretlock/core/run/StepJobScheduler.kt
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/run/StepJobScheduler.kt
@@ -28,6 +28,8 @@
     private val sizes = QueueSizes()
     private val placer = StepJobPlacer(rooms, runTimes, policies)
     private val backlog = BacklogForecaster(rooms, placer, policies.order)
+    private var isBatching = false
+    private var isPlacementDue = false
 
     /** Accepted jobs that are not answered yet. */
     val activeJobs: Collection<ActiveJob>
@@ -114,7 +116,7 @@
     ): List<StepJobEffect> {
         rooms.report(agent, failureDomain, report, seenSequence)
         releaseTasksOfEarlierProcess(agent, nowMillis)
-        return placeAndExpire(nowMillis)
+        return placeAfterBatch(nowMillis)
     }
 
     /**
@@ -143,12 +145,31 @@
         runMillis: Double,
         nowMillis: Long,
     ): List<StepJobEffect> {
-        val active = jobs[run.task.job] ?: return placeAndExpire(nowMillis)
+        val active = jobs[run.task.job] ?: return placeAfterBatch(nowMillis)
         val task = active.task(run.task)
-        if (task == null || task.agent != agent || task.runNumber != run.number) return placeAndExpire(nowMillis)
+        if (task == null || task.agent != agent || task.runNumber != run.number) return placeAfterBatch(nowMillis)
         task.agent = null
         val effects = recordTaskEnd(active, task, agent, end, runMillis, nowMillis)
-        return effects + placeAndExpire(nowMillis)
+        return effects + placeAfterBatch(nowMillis)
+    }
+
+    /**
+     * Handles the events in [body] as one batch: their reports and ends of runs cause a single placement, whose effects
+     * are returned. At a load peak many reports arrive at once, and a placement for each, over all waiting jobs and all
+     * agents, would take more processor time than the small instances have. A job that arrives is placed at once, as
+     * the forecast for the next one counts waiting jobs as work ahead.
+     */
+    fun batch(
+        nowMillis: () -> Long,
+        body: () -> Unit,
+    ): List<StepJobEffect> {
+        isBatching = true
+        try {
+            body()
+        } finally {
+            isBatching = false
+        }
+        return if (isPlacementDue) placeAndExpire(nowMillis()) else emptyList()
     }
 
     /** Places waiting tasks and gives up jobs that can no longer be served in time; called at least every 20 ms. */
@@ -234,7 +255,14 @@
         return Verdict.NotRun(Reason.OVERLOADED, detail, retryAfterMillis(active, nowMillis))
     }
 
+    private fun placeAfterBatch(nowMillis: Long): List<StepJobEffect> {
+        if (!isBatching) return placeAndExpire(nowMillis)
+        isPlacementDue = true
+        return emptyList()
+    }
+
     private fun placeAndExpire(nowMillis: Long): List<StepJobEffect> {
+        isPlacementDue = false
         val starts = placer.place(jobs.values, nowMillis)
         return starts + expire(nowMillis)
     }
--- a/egretlock-core/src/test/kotlin/io/egretlock/core/run/ReportPacingTest.kt
+++ b/egretlock-core/src/test/kotlin/io/egretlock/core/run/ReportPacingTest.kt
@@ -16,13 +16,14 @@
             free = Room(32_000, 65_536),
             speed = 1.0,
             accepting = true,
+            isPreferred = true,
         )
 
     @Test
     fun `given eleven entries, when others start runs continuously, then reports are sent every 100 ms`() {
         val sent =
             (0 until 1_000L step 8).filter { millis ->
-                pacing.isDue(idle.copy(free = Room(millis, 65_536)), 0, ENTRIES, nowMillis = millis)
+                isDue(idle.copy(free = Room(millis, 65_536)), nowMillis = millis)
             }
         assertTrue(sent.size in 9..11) { "$sent" }
     }
@@ -55,14 +56,32 @@
 
     @Test
     fun `given a single entry, when the upstream changes, then a report is sent after 10 ms`() {
-        assertTrue(pacing.isDue(idle, 0, entryCount = 1, nowMillis = 0))
-        assertTrue(pacing.isDue(idle.copy(speed = 2.0), 0, entryCount = 1, nowMillis = 10))
+        assertTrue(isDue(idle, entryCount = 1))
+        assertTrue(isDue(idle.copy(speed = 2.0), entryCount = 1, nowMillis = 10))
+    }
+
+    @Test
+    fun `given eleven entries, when an entry is not preferred, then changes by others are reported every 330 ms`() {
+        val sent =
+            (0 until 1_000L step 8).filter { millis ->
+                isDue(idle.copy(free = Room(millis, 65_536), isPreferred = false), nowMillis = millis)
+            }
+        assertEquals(listOf(0L, 336L, 672L), sent)
+    }
+
+    @Test
+    fun `a report that waits is told apart from one that is unchanged`() {
+        fun next(report: UpstreamReport) = pacing.next(report, seenSequence = 0, ENTRIES, nowMillis = 0)
+        val changed = idle.copy(speed = 2.0)
+        val expected = listOf(ReportPacing.Next.SEND, ReportPacing.Next.UNCHANGED, ReportPacing.Next.WAIT)
+        assertEquals(expected, listOf(next(idle), next(idle), next(changed)))
     }
 
     private fun isDue(
         report: UpstreamReport?,
         nowMillis: Long = 0,
-    ): Boolean = pacing.isDue(report, seenSequence = 0, entryCount = ENTRIES, nowMillis = nowMillis)
+        entryCount: Int = ENTRIES,
+    ): Boolean = pacing.next(report, seenSequence = 0, entryCount, nowMillis) == ReportPacing.Next.SEND
 
     private companion object {
         const val ENTRIES = 11
--- a/egretlock-core/src/test/kotlin/io/egretlock/core/run/StepJobSchedulerTest.kt
+++ b/egretlock-core/src/test/kotlin/io/egretlock/core/run/StepJobSchedulerTest.kt
@@ -62,6 +62,31 @@
         assertTrue(effects.starts().isEmpty())
     }
 
+    @Test
+    fun `the reports and ends of a batch cause one placement, with all that they changed`() {
+        connect(first, 1)
+        scheduler.submit(job("a", tasks = 4), queue(), 1_500, 0)
+        val inBatch = mutableListOf<StepJobEffect>()
+        val afterBatch =
+            scheduler.batch({ 20 }) {
+                inBatch += scheduler.onAgentReported(first, ownDomain, report(1), seenSequence = 1, nowMillis = 20)
+                inBatch += connect(second, 2, nowMillis = 20)
+                inBatch += succeed(first, run("a", 0), nowMillis = 20)
+            }
+        assertTrue(inBatch.isEmpty())
+        assertEquals(listOf(first, second), afterBatch.starts().map { it.agent }.sortedBy { it.name })
+        assertEquals(3, afterBatch.starts().sumOf { it.order.runs.size })
+        assertTrue(scheduler.batch({ 30 }) {}.isEmpty())
+    }
+
+    @Test
+    fun `a job that arrives within a batch is placed at once, so that it is not work ahead of the next one`() {
+        connect(first, 10)
+        val effects = mutableListOf<StepJobEffect>()
+        scheduler.batch({ 0 }) { effects += scheduler.submit(job("a"), queue(), 1_500, 0) }
+        assertEquals(1, effects.starts().size)
+    }
+
     @Test
     fun `after a start, admission counts the room that connected agents are expected to report`() {
         connectWithoutReport(nowMillis = 0)
--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/run/EntryPeers.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/run/EntryPeers.kt
@@ -126,7 +126,8 @@
     private fun ownVersion(): Long = configuration.current?.version ?: 0
 
     private companion object {
-        val TIMING = LinkTiming(heartbeatMillis = 300, silenceMillis = 1_000, connectMillis = 500)
+        /** Connections to other entries carry no runs, so that a silent one may be noticed late. */
+        val TIMING = LinkTiming(heartbeatMillis = 600, silenceMillis = 2_000, connectMillis = 500)
         const val RECONNECT_DELAY_MILLIS = 50L
         const val FAILURE_DELAY_MILLIS = 500L
 
--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/run/RunEntry.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/run/RunEntry.kt
@@ -84,12 +84,16 @@
     suspend fun run() {
         while (true) {
             val input = nextInput()
-            handle(input)
-            var next = inbox.tryReceive().getOrNull()
-            while (next != null) {
-                handle(next)
-                next = inbox.tryReceive().getOrNull()
-            }
+            perform(scheduler.batch(nowMillis) { handleWithQueued(input) })
+        }
+    }
+
+    /** Handles [input] and the inputs that are queued behind it. */
+    private fun handleWithQueued(input: RunEntryInput) {
+        var next: RunEntryInput? = input
+        while (next != null) {
+            handle(next)
+            next = inbox.tryReceive().getOrNull()
         }
     }
 
@@ -236,7 +240,9 @@
             "agent" to effect.agent.name,
             "runs" to order.runs.joinToString(" ") { "${it.step}.${it.index}#${it.number}" },
         )
-        links[effect.agent]?.send(StartRuns(order))
+        val link = links[effect.agent] ?: return
+        link.markBusy()
+        link.send(StartRuns(order))
     }
 
     private fun stop(effect: StepJobEffect.Stop) {
--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/run/RunEntryProcess.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/run/RunEntryProcess.kt
@@ -20,9 +20,9 @@
 import io.egretlock.process.launchEssential
 import io.egretlock.protocol.Link
 import io.egretlock.protocol.LinkListener
-import io.egretlock.protocol.LinkTiming
 import io.egretlock.protocol.RunAgentHello
 import io.egretlock.protocol.RunEntryHello
+import io.egretlock.protocol.RunLinkTiming
 import io.egretlock.sockets.EventLoop
 import io.egretlock.store.EntryDirectory
 import io.egretlock.store.StoreException
@@ -188,7 +188,6 @@
         /** Longer than for the configuration, since entries also name new entries to agents and to each other. */
         const val DIRECTORY_WATCH_MILLIS = 10_000L
 
-        /** The same as at the agents' end of these connections. */
-        val TIMING = LinkTiming(heartbeatMillis = 150, silenceMillis = 600)
+        val TIMING = RunLinkTiming.TIMING
     }
 }
--- a/egretlock-protocol/src/main/kotlin/io/egretlock/protocol/Link.kt
+++ b/egretlock-protocol/src/main/kotlin/io/egretlock/protocol/Link.kt
@@ -16,6 +16,7 @@
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.plus
 import kotlinx.coroutines.withTimeout
+import kotlinx.coroutines.withTimeoutOrNull
 import java.io.ByteArrayOutputStream
 import java.io.IOException
 import java.nio.ByteBuffer
@@ -33,12 +34,16 @@
  * @property heartbeatMillis interval between heartbeats in each direction.
  * @property silenceMillis time without any frame from the peer, or without confirmation that the peer has received a
  * further heartbeat, after which the connection is closed. The peer's next heartbeat carries the confirmation.
+ * @property idleHeartbeatMillis interval between heartbeats while neither end is busy, see [Link.markBusy].
+ * @property idleSilenceMillis time of silence after which the connection is closed while neither end is busy.
  * @property connectMillis time allowed for opening a connection.
  * @property largestFrameBytes longest frame body accepted; a longer one ends the connection.
  */
 data class LinkTiming(
     val heartbeatMillis: Long = 500,
     val silenceMillis: Long = 2_000,
+    val idleHeartbeatMillis: Long = heartbeatMillis,
+    val idleSilenceMillis: Long = silenceMillis,
     val connectMillis: Long = 1_000,
     val largestFrameBytes: Int = LARGEST_FRAME_BYTES,
 )
@@ -57,7 +62,9 @@
 ) {
     private val outgoing = Channel<Message>(Channel.UNLIMITED)
     private val received = Channel<Message>(Channel.UNLIMITED)
-    private val silence = LinkSilence(timing)
+    private val activity = LinkActivity()
+    private val silence = LinkSilence(timing, activity)
+    private val becameBusy = Channel<Unit>(Channel.CONFLATED)
     private val lastReceivedSequence = AtomicLong()
     private val lifetime = SupervisorJob(scope.coroutineContext[Job])
 
@@ -74,6 +81,14 @@
     /** Queues a message. Returns false if the connection has ended; true does not imply that the message arrives. */
     fun send(message: Message): Boolean = outgoing.trySend(message).isSuccess
 
+    /**
+     * Marks the connection as busy for about a second: it has work whose loss must be noticed within the shorter of the two
+     * silence limits. Both ends then send heartbeats at the shorter interval. Called on the loop's thread.
+     */
+    fun markBusy() {
+        if (activity.mark()) onBusy()
+    }
+
     /** Closes the connection; idempotent. */
     fun close() {
         outgoing.close()
@@ -119,6 +134,12 @@
     private fun handleHeartbeat(message: Heartbeat) {
         lastReceivedSequence.set(message.sequence)
         silence.recordConfirmation(message.heard)
+        if (activity.recordPeer(message.isBusy)) onBusy()
+    }
+
+    private fun onBusy() {
+        silence.restart()
+        becameBusy.trySend(Unit)
     }
 
     /** Writes the queued messages in batches. */
@@ -153,12 +174,20 @@
     private suspend fun sendHeartbeats() {
         var sequence = 0L
         while (!silence.hasTimedOut) {
-            send(Heartbeat(++sequence, lastReceivedSequence.get()))
-            delay(timing.heartbeatMillis)
+            send(Heartbeat(++sequence, lastReceivedSequence.get(), activity.isOwnBusy))
+            awaitNextHeartbeat()
         }
         logger.debug { "Connection closed after ${silence.silentMillis()} ms of silence." }
     }
 
+    private suspend fun awaitNextHeartbeat() {
+        if (activity.isBusy) {
+            delay(timing.heartbeatMillis)
+        } else {
+            withTimeoutOrNull(timing.idleHeartbeatMillis) { becameBusy.receive() }
+        }
+    }
+
     /** Whether half of the time has passed after which a silent connection is closed. */
     val isSuspect: Boolean
         get() = silence.isSuspect
--- a/egretlock-protocol/src/main/kotlin/io/egretlock/protocol/LinkSilence.kt
+++ b/egretlock-protocol/src/main/kotlin/io/egretlock/protocol/LinkSilence.kt
@@ -10,6 +10,7 @@
  */
 internal class LinkSilence(
     private val timing: LinkTiming,
+    private val activity: LinkActivity,
     private val nowNanos: () -> Long = System::nanoTime,
 ) {
     private val lastFrameAtNanos = AtomicLong(nowNanos())
@@ -24,9 +25,15 @@
         if (sequence > confirmedSequence.getAndSet(sequence)) confirmedAtNanos.set(nowNanos())
     }
 
+    /** Starts the measurement anew, since the time allowed becomes shorter when an idle connection becomes busy. */
+    fun restart() {
+        lastFrameAtNanos.set(nowNanos())
+        confirmedAtNanos.set(nowNanos())
+    }
+
     /** Whether the connection has to be closed. */
     val hasTimedOut: Boolean
-        get() = silentMillis() > timing.silenceMillis
+        get() = silentMillis() > if (activity.isBusy) timing.silenceMillis else timing.idleSilenceMillis
 
     /** Whether half of the time has passed after which the connection is closed. */
     val isSuspect: Boolean
--- a/egretlock-protocol/src/main/kotlin/io/egretlock/protocol/Message.kt
+++ b/egretlock-protocol/src/main/kotlin/io/egretlock/protocol/Message.kt
@@ -59,12 +59,14 @@
  *
  * @property sequence number of this heartbeat, from 1.
  * @property heard highest heartbeat number received from the peer, as confirmation; 0 if none has arrived.
+ * @property isBusy whether the sender needs frequent heartbeats, see [Link.markBusy].
  */
 @Serializable
 @SerialName("heartbeat")
 data class Heartbeat(
     val sequence: Long,
     val heard: Long = 0,
+    val isBusy: Boolean = false,
 ) : Message
 
 /** Transmits the rosters that can still determine a job's home, oldest first. */
--- a/egretlock-protocol/src/test/kotlin/io/egretlock/protocol/LinkTest.kt
+++ b/egretlock-protocol/src/test/kotlin/io/egretlock/protocol/LinkTest.kt
@@ -10,7 +10,9 @@
 import kotlinx.coroutines.withContext
 import kotlinx.coroutines.withTimeout
 import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertFalse
 import org.junit.jupiter.api.Assertions.assertNull
+import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
 import java.io.DataInputStream
 import java.io.DataOutputStream
@@ -48,6 +50,29 @@
             }
         }
 
+    @Test
+    fun `given an idle connection, when one end becomes busy, then both ends send heartbeats at the shorter interval`() =
+        runBlocking(Dispatchers.Default) {
+            EventLoop("test").use { loop ->
+                ServerSocket(0).use { server ->
+                    val timing =
+                        LinkTiming(
+                            heartbeatMillis = 20,
+                            silenceMillis = DEADLINE_MILLIS,
+                            idleHeartbeatMillis = DEADLINE_MILLIS,
+                        )
+                    val link = Link.dial(NodeAddress("127.0.0.1", server.localPort), loop, this, timing)
+                    server.accept().use { peer ->
+                        assertFalse(answerHeartbeats(peer, count = 1).single().isBusy)
+                        withContext(loop) { link.markBusy() }
+                        val busy = withTimeout(DEADLINE_MILLIS) { answerHeartbeats(peer, count = 3) }
+                        assertTrue(busy.all { it.isBusy })
+                    }
+                    link.close()
+                }
+            }
+        }
+
     @Test
     fun `given an idle connection, when heartbeats are exchanged, then each end sends one per interval and no reply`() =
         runBlocking(Dispatchers.Default) {
@@ -55,7 +80,7 @@
                 ServerSocket(0).use { server ->
                     val timing = LinkTiming(heartbeatMillis = 20, silenceMillis = 300)
                     val link = Link.dial(NodeAddress("127.0.0.1", server.localPort), loop, this, timing)
-                    val answered = withTimeout(DEADLINE_MILLIS) { answerHeartbeats(server.accept(), count = 40) }
+                    val answered = withTimeout(DEADLINE_MILLIS) { server.accept().use { answerHeartbeats(it, count = 40) } }
                     assertEquals((1L..40L).toList(), answered.map { it.sequence })
                     assertEquals(answered.map { it.heard }.sorted(), answered.map { it.heard })
                     link.close()
@@ -69,16 +94,14 @@
         count: Int,
     ): List<Heartbeat> =
         withContext(Dispatchers.IO) {
-            socket.use {
-                val input = DataInputStream(it.getInputStream())
-                val output = DataOutputStream(it.getOutputStream())
-                List(count) { index ->
-                    val heartbeat = MessageCodec.decode(input.readNBytes(input.readInt())) as Heartbeat
-                    val frame = MessageCodec.encode(Heartbeat(index + 1L, heard = heartbeat.sequence))
-                    output.writeInt(frame.size)
-                    output.write(frame)
-                    heartbeat
-                }
+            val input = DataInputStream(socket.getInputStream())
+            val output = DataOutputStream(socket.getOutputStream())
+            List(count) { index ->
+                val heartbeat = MessageCodec.decode(input.readNBytes(input.readInt())) as Heartbeat
+                val frame = MessageCodec.encode(Heartbeat(index + 1L, heard = heartbeat.sequence))
+                output.writeInt(frame.size)
+                output.write(frame)
+                heartbeat
             }
         }
 
