--- a/egretlock-agent/src/main/kotlin/io/egretlock/agent/run/RunAgent.kt
+++ b/egretlock-agent/src/main/kotlin/io/egretlock/agent/run/RunAgent.kt
@@ -74,7 +74,7 @@
         }
     }
 
-    /** Schedules the next tick, unless one is scheduled. An idle agent has none, so that it uses little processor time. */
+    /** Schedules the next tick, unless one is scheduled. An idle agent has none, which saves processor time. */
     private fun scheduleTick() {
         if (isTickScheduled) return
         isTickScheduled = true
--- a/egretlock-core/src/main/kotlin/io/egretlock/core/run/ReportPacing.kt
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/run/ReportPacing.kt
@@ -7,9 +7,9 @@
  * the product of agents and entries, and reading them would use up the processor of small entries. Reports are
  * therefore sent at once only for changes by the entry's own orders and runs and for changes that decide whether the
  * entry may order at all. Room that other entries take and release is reported at an interval that grows with the
- * number of entries, so that an agent's message rate does not depend on it. The interval is longer for an entry that the
- * agent does not prefer (see [EntryPreference]), which orders from this agent only if its own ones are full. An entry
- * that orders room which is no longer free loses one round trip to a refusal.
+ * number of entries. It is longer for an entry that the agent does not prefer (see [EntryPreference]), which orders from
+ * this agent only if its own ones are full. An entry that orders room which is no longer free loses one round trip to a
+ * refusal.
  *
  * Times are in milliseconds of a monotonic clock.
  */
@@ -55,7 +55,7 @@
         if (isPreferred) {
             (MILLIS_PER_ENTRY * entryCount).coerceAtMost(LONGEST_INTERVAL_MILLIS)
         } else {
-            (OTHERS_MILLIS_PER_ENTRY * entryCount).coerceAtMost(OTHERS_LONGEST_INTERVAL_MILLIS)
+            (OTHERS_MILLIS_PER_SQUARE * entryCount * entryCount).coerceAtMost(OTHERS_LONGEST_INTERVAL_MILLIS)
         }
 
     /** Whether [report] differs from the last one in more than free room and speed. */
@@ -77,8 +77,11 @@
         /** Longest interval, in milliseconds, for that entry; short tasks can wait this long. */
         const val LONGEST_INTERVAL_MILLIS = 100L
 
-        /** The same for other entries; an agent sends about 33 such reports a second over all of them. */
-        const val OTHERS_MILLIS_PER_ENTRY = 30L
+        /**
+         * Factor of the interval, in milliseconds, for other entries. The agents grow in number with the entries, so with
+         * the square of that number as the other factor an entry's incoming reports do not grow with the fleet.
+         */
+        const val OTHERS_MILLIS_PER_SQUARE = 3L
 
         /** Longest interval, in milliseconds, for other entries. */
         const val OTHERS_LONGEST_INTERVAL_MILLIS = 1_000L
--- a/egretlock-core/src/main/kotlin/io/egretlock/core/run/StepJobScheduler.kt
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/run/StepJobScheduler.kt
@@ -25,7 +25,7 @@
             override fun removeEldestEntry(eldest: Map.Entry<JobId, StepJobOutcome>): Boolean = size > MAX_KEPT_OUTCOMES
         }
     private val runTimes = QueueRunTimes()
-    private val sizes = QueueSizes()
+    private val demand = QueueDemand(runTimes, policies.reserve)
     private val placer = StepJobPlacer(rooms, runTimes, policies)
     private val backlog = BacklogForecaster(rooms, placer, policies.order)
     private var isBatching = false
@@ -56,7 +56,7 @@
         if (job.id in jobs) return emptyList()
         answered[job.id]?.let { return listOf(StepJobEffect.Answer(job.id, it)) }
         val objective = queue.slackFactor * job.criticalPathMillis + queue.targetMillis
-        val size = recordDemand(job, queue, nowMillis)
+        val size = demand.record(job, queue, nowMillis)
         val patience = patienceMillis ?: (objective * PATIENCE_FACTOR).toLong().coerceAtLeast(MIN_PATIENCE_MILLIS)
         val active = ActiveJob(job, queue, nowMillis, nowMillis + objective, nowMillis + patience, size)
         refusal(active, nowMillis)?.let { return listOf(StepJobEffect.Answer(job.id, StepJobOutcome.GivenUp(it))) }
@@ -64,23 +64,6 @@
         return placeAndExpire(nowMillis)
     }
 
-    /** Records the arrival of a job for the reserve and returns its work relative to the mean of its queue. */
-    private fun recordDemand(
-        job: StepJob,
-        queue: JobQueue,
-        nowMillis: Long,
-    ): Double {
-        var work = 0.0
-        var longest = 0.0
-        for (step in job.steps) {
-            val taskMillis = runTimes.expectedMillis(queue.name, step.estimatedRunMillis)
-            work += step.taskCount * step.room.cpuMillicores * taskMillis
-            longest = maxOf(longest, taskMillis)
-        }
-        policies.reserve.arrived(queue.name, work, longest, nowMillis)
-        return sizes.relativeSize(queue.name, work)
-    }
-
     /** Stops a job that no caller waits for any more; it gets no answer. */
     fun abandon(
         job: JobId,
@@ -178,7 +161,7 @@
     /** Removes the statistics of all queues except [names], which are those that the configuration still has. */
     fun retainQueues(names: Set<String>) {
         runTimes.retain(names)
-        sizes.retain(names)
+        demand.retain(names)
     }
 
     private fun recordTaskEnd(
--- a/egretlock-process/src/main/kotlin/io/egretlock/process/Event.kt
+++ b/egretlock-process/src/main/kotlin/io/egretlock/process/Event.kt
@@ -30,8 +30,8 @@
 private val budgets = ConcurrentHashMap<Int, LineBudget>()
 
 /**
- * Logs [event] with [fields] as the payload, within the event's budget. The message has the fields too, unless the log is
- * structured and does not show it.
+ * Logs [event] with [fields] as the payload, within the event's budget. The message has the fields too, unless the log
+ * is structured and does not show it.
  */
 fun KLogger.event(
     event: Event,
--- a/egretlock-process/src/main/kotlin/io/egretlock/process/log/LogLine.kt
+++ b/egretlock-process/src/main/kotlin/io/egretlock/process/log/LogLine.kt
@@ -1,8 +1,8 @@
 package io.egretlock.process.log
 
 /**
- * Formats one line of the structured log: a JSON object with `time` in milliseconds since 1970, `level`, and its fields.
- * Numbers and booleans are written as such, all other values as strings.
+ * Formats one line of the structured log: a JSON object with `time` in milliseconds since 1970, `level`, and its
+ * fields. Numbers and booleans are written as such, all other values as strings.
  */
 internal object LogLine {
     private const val TYPICAL_LENGTH = 160
--- a/egretlock-process/src/main/kotlin/io/egretlock/process/log/StructuredLogProvider.kt
+++ b/egretlock-process/src/main/kotlin/io/egretlock/process/log/StructuredLogProvider.kt
@@ -13,7 +13,8 @@
 import java.util.concurrent.ConcurrentHashMap
 
 /**
- * SLF4J provider of the structured log on standard output. This project logs from level INFO on, libraries from WARN on.
+ * SLF4J provider of the structured log on standard output. This project logs from level INFO on, libraries from WARN
+ * on.
  *
  * Processes on the users' platform use it in place of Logback, whose start takes a quarter of the processor time of
  * theirs and whose asynchronous appender does not count the lines that it drops.
--- a/egretlock-protocol/src/main/kotlin/io/egretlock/protocol/Link.kt
+++ b/egretlock-protocol/src/main/kotlin/io/egretlock/protocol/Link.kt
@@ -82,8 +82,8 @@
     fun send(message: Message): Boolean = outgoing.trySend(message).isSuccess
 
     /**
-     * Marks the connection as busy for about a second: it has work whose loss must be noticed within the shorter of the two
-     * silence limits. Both ends then send heartbeats at the shorter interval. Called on the loop's thread.
+     * Marks the connection as busy for about a second: it has work whose loss must be noticed within the shorter of the
+     * two silence limits. Both ends then send heartbeats at the shorter interval. Called on the loop's thread.
      */
     fun markBusy() {
         if (activity.mark()) onBusy()
--- a/egretlock-protocol/src/main/kotlin/io/egretlock/protocol/LinkActivity.kt
+++ b/egretlock-protocol/src/main/kotlin/io/egretlock/protocol/LinkActivity.kt
@@ -4,8 +4,8 @@
  * Tracks whether a [Link] is busy: either end has work on it whose loss has to be noticed quickly.
  *
  * Each end reports its own state in its heartbeats. An end stays busy for [LINGER_MILLIS] after the last mark, so that
- * short pieces of work do not switch the heartbeats back and forth, and so that the other end has time to report that it
- * is busy too.
+ * short pieces of work do not switch the heartbeats back and forth, and so that the other end has time to report that
+ * it is busy too.
  */
 internal class LinkActivity(
     private val nowNanos: () -> Long = System::nanoTime,
