Add check-config to both programs, and name a missing setting at the start

Cause: a settings file of the platform could only be checked by starting a process with it, and an address that the program needs and the file lacks ended the start with a stack trace. Change: BootRole says what each program needs; serve and check-config print file, setting, value and what is allowed, with exit status 2. Shown by BootRoleTest and by hand with a good and a bad file for each program.

--- a/egretlock-agent/src/main/kotlin/io/egretlock/agent/Main.kt
+++ b/egretlock-agent/src/main/kotlin/io/egretlock/agent/Main.kt
@@ -1,6 +1,8 @@
 package io.egretlock.agent
 
 import io.egretlock.agent.run.RunAgentProcess
+import io.egretlock.platform.BootRole
+import io.egretlock.platform.checkBootSettings
 import io.egretlock.platform.readBootSettings
 import io.egretlock.process.CommandLine
 import io.egretlock.process.LogSetup
@@ -18,6 +20,8 @@
   check    Checks the settings and prints every fault.
   dump     Prints the state of a running agent as JSON.
 
+  check-config FILE    Checks a settings file of the users' platform.
+
   COMMAND --help    Lists the command's flags with their environment variables.
   --version         Prints the version."""
 
@@ -27,6 +31,7 @@
     program("egretlock-agent", USAGE) {
         command("run", ::run)
         command("serve") { serve() }
+        command("check-config") { arguments -> commandLine.checkBootSettings(BootRole.AGENT, arguments) }
         command("check", ::check)
         command("dump", ::dump)
     }
@@ -42,7 +47,7 @@
 
 private fun serve() {
     StructuredLogProvider.install()
-    commandLine.serve(RunAgentProcess(commandLine.readBootSettings()))
+    commandLine.serve(RunAgentProcess(commandLine.readBootSettings(BootRole.AGENT)))
 }
 
 private fun check(flags: List<String>) {
--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/Main.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/Main.kt
@@ -1,6 +1,8 @@
 package io.egretlock.entry
 
 import io.egretlock.entry.run.RunEntryProcess
+import io.egretlock.platform.BootRole
+import io.egretlock.platform.checkBootSettings
 import io.egretlock.platform.readBootSettings
 import io.egretlock.process.CommandLine
 import io.egretlock.process.LogSetup
@@ -21,6 +23,8 @@
   dump     Prints the state of a running entry as JSON.
   explain  Prints what log files of entries and agents say about one job: explain JOB FILE...
 
+  check-config FILE    Checks a settings file of the users' platform.
+
   settings get    Prints a team's settings in force as YAML, with their revision.
   settings put    Checks a team's settings in a YAML file, then stores them on top of a revision.
 
@@ -33,6 +37,7 @@
     program("egretlock-entry", USAGE) {
         command("run", ::run)
         command("serve") { serve() }
+        command("check-config") { arguments -> commandLine.checkBootSettings(BootRole.ENTRY, arguments) }
         command("check", ::check)
         command("dump", ::dump)
         command("explain") { arguments -> ExplainCommand(commandLine).run(arguments) }
@@ -50,7 +55,7 @@
 
 private fun serve() {
     StructuredLogProvider.install()
-    commandLine.serve(RunEntryProcess(commandLine.readBootSettings()))
+    commandLine.serve(RunEntryProcess(commandLine.readBootSettings(BootRole.ENTRY)))
 }
 
 private fun check(flags: List<String>) {
