--- a/review/standins/Cases.java
+++ b/review/standins/Cases.java
@@ -2,6 +2,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.atomic.AtomicLong;
 
 /** The cases of this review. */
 final class Cases {
@@ -109,13 +110,13 @@
     /** TWICE: an order gets no answer and arrives late, in the next life of its worker. */
     static String lateOrder(Record record, boolean hasTrouble) throws Exception {
         try (Installation system = new Installation(record, 1, 2, 8000, false)) {
-            List<LateCalls> paths = new ArrayList<>();
+            AtomicLong delayMillis = new AtomicLong();
             for (Installation.Side side : system.sides) {
                 side.workerPath.refuse();
-                paths.add(new LateCalls(side.worker.host, side.workerPath.port(), side.worker.host, side.worker.port, record));
+                new LateCalls(side.worker.host, side.workerPath.port(), side.worker.host, side.worker.port, delayMillis, record);
             }
             system.start();
-            if (hasTrouble) paths.forEach(path -> path.delayNextStart(2500));
+            if (hasTrouble) delayMillis.set(2500);
             Job job = system.job(system.entries.get(0), 1, 5000, 1000, 20_000);
             Threads.sleep(1000);
             if (hasTrouble) {
--- a/review/standins/Installation.java
+++ b/review/standins/Installation.java
@@ -100,7 +100,7 @@
 
     static String route(String prefix) {
         return "{\"name\":\"r" + prefix.replace("/", "-") + "\",\"host\":\"" + HOST_HEADER + "\",\"prefix\":\"" + prefix
-            + "\",\"route_type\":\"unsafe\",\"timeout_ms\":60000,\"target_completion_ms\":30000,\"priority\":0,\"service\":\""
+            + "\",\"route_type\":\"unsafe\",\"timeout_ms\":60000,\"target_completion_ms\":60,\"priority\":0,\"service\":\""
             + SERVICE + "\",\"attempts\":2,\"slack_factor\":1.6}";
     }
 
--- a/review/standins/Job.java
+++ b/review/standins/Job.java
@@ -4,6 +4,9 @@
 
 /** A client that hands in one job that needn't be kept, and waits for the answer. */
 final class Job {
+    /** Time beyond the limit for which the client still reads, for the way of the answer. */
+    private static final int LATENCY_MILLIS = 300;
+
     final String id;
     final long sentNanos = System.nanoTime();
     volatile int status = -1;
@@ -23,7 +26,7 @@
         thread = Threads.start("job-" + id, () -> {
             try (call) {
                 Http.Response response =
-                    call.send(entry.ip, entry.frontend, "POST", prefix + id, headers, text, (int) patienceMillis);
+                    call.send(entry.ip, entry.frontend, "POST", prefix + id, headers, text, (int) patienceMillis + LATENCY_MILLIS);
                 body = response.body();
                 answeredNanos = System.nanoTime();
                 status = response.status();
--- a/review/standins/LateCalls.java
+++ b/review/standins/LateCalls.java
@@ -1,29 +1,27 @@
 import java.io.IOException;
 import java.util.Map;
+import java.util.concurrent.atomic.AtomicLong;
 
 /** A path for HTTP calls on which chosen orders get no answer and arrive late, as PROTOCOL.md says of calls. */
 final class LateCalls {
     private final String targetHost;
     private final int targetPort;
     private final Record record;
-    private volatile long delayMillis;
+    private final AtomicLong delayMillis;
 
-    LateCalls(String host, int port, String targetHost, int targetPort, Record record) throws IOException {
+    /** @param delayMillis delay of the next start, which gets no answer; 0 for none. Paths can share it. */
+    LateCalls(String host, int port, String targetHost, int targetPort, AtomicLong delayMillis, Record record)
+        throws IOException {
+        this.delayMillis = delayMillis;
         this.targetHost = targetHost;
         this.targetPort = targetPort;
         this.record = record;
         new Http.Server(host, port, this::forward);
     }
 
-    /** Delays the next start by this time; it gets no answer. */
-    void delayNextStart(long millis) {
-        delayMillis = millis;
-    }
-
     private Http.Response forward(Http.Request request) throws Exception {
-        long millis = delayMillis;
-        if (millis == 0 || !request.path().equals("/api/run-start")) return forwardNow(request);
-        delayMillis = 0;
+        long millis = request.path().equals("/api/run-start") ? delayMillis.getAndSet(0) : 0;
+        if (millis == 0) return forwardNow(request);
         record.line("LATE   %s is delayed by %d ms: %s", request.path(), millis, request.body());
         Threads.start("late-call", () -> {
             Threads.sleep(millis);
