Keep runs until their lease expires when their upstream refuses connections

Cause: RunLedger.onRenewalFailed took a refused connection for the end of the upstream's process and reported its runs as LOST; the entry then places their tasks at once. A broken path refuses connections too, while the runs go on until their leases expire. Evidence: in the logs of the case the agent's 2541 LOST follows its 3003 "Connection refused" by 1 ms, the entry's next order (1542) its 1544 by 1 ms; the first run lapses about a second later. Ruled out: a placement that does not wait for the agent (1544 comes before 1542), and a lease that lasts too long. Change: a refusal is a renewal without an answer, so the runs are lost after 1030 ms without one. While the upstream refuses, no upstream is reported, whatever its heartbeats say; its next answer brings it back. Related path, not changed: the takeover of a roster on the own interface, see docs/INVARIANTS.md.

--- a/egretlock-agent/src/main/kotlin/io/egretlock/agent/run/RunAgent.kt
+++ b/egretlock-agent/src/main/kotlin/io/egretlock/agent/run/RunAgent.kt
@@ -172,12 +172,12 @@
             is RenewalResult.Answered -> perform(ledger.onRenewalAnswered(input.number, result.answer, now))
             RenewalResult.Fenced -> onFenced(input.fencingToken)
             RenewalResult.Unanswered -> {
-                perform(ledger.onRenewalFailed(isUnreachable = false, now))
+                perform(ledger.onRenewalFailed(isConnectionRefused = false, now))
                 delayMillis = RETRY_MILLIS
             }
-            RenewalResult.Unreachable -> {
-                perform(ledger.onRenewalFailed(isUnreachable = true, now))
-                delayMillis = UNREACHABLE_RETRY_MILLIS
+            RenewalResult.ConnectionRefused -> {
+                perform(ledger.onRenewalFailed(isConnectionRefused = true, now))
+                delayMillis = REFUSED_RETRY_MILLIS
             }
         }
         renewAfter(delayMillis)
@@ -288,7 +288,7 @@
         /** Delay before the next renewal after one without an answer. */
         const val RETRY_MILLIS = 10L
 
-        /** Delay before the next renewal while nothing listens at the address of the upstream. */
-        const val UNREACHABLE_RETRY_MILLIS = 100L
+        /** Delay before the next renewal while connections to the upstream are refused. */
+        const val REFUSED_RETRY_MILLIS = 100L
     }
 }
--- a/egretlock-core/src/main/kotlin/io/egretlock/core/run/RunEnd.kt
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/run/RunEnd.kt
@@ -14,7 +14,7 @@
     /** The run was stopped on request, or its lease expired. */
     STOPPED,
 
-    /** The upstream has ended, and the run with it. */
+    /** The upstream no longer has the run, or has not answered for longer than the lease of the run lasts. */
     LOST,
 
     /** The task made no progress and was stopped. */
--- a/egretlock-core/src/main/kotlin/io/egretlock/core/run/RunLedger.kt
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/run/RunLedger.kt
@@ -56,11 +56,12 @@
         get() = if (runs.isEmpty()) IDLE_WAIT_MILLIS else BUSY_WAIT_MILLIS
 
     /**
-     * Returns the report for the entries; null if no upstream is known or runs of an earlier agent may still be active.
+     * Returns the report for the entries; null if no upstream is known, if it refuses connections, or if runs of an
+     * earlier agent may still be active.
      */
     fun report(): UpstreamReport? {
         val status = upstream.status ?: return null
-        if (!wasUpstreamCleared) return null
+        if (!wasUpstreamCleared || upstream.isRefusingConnections) return null
         val used = runs.values.fold(Room.NONE) { sum, run -> sum + run.ordered.room }
         return UpstreamReport(
             upstream = "${status.incarnation.name}@${status.incarnation.startedAtMillis}",
@@ -82,8 +83,8 @@
     }
 
     /**
-     * Records that the upstream [name] announced that it ends. It gets no more runs. Its active runs end with it, which
-     * is shown by its closed port or by the expiry of its lease.
+     * Records that the upstream [name] announced that it ends. It gets no more runs. Its active runs end with it; they
+     * are reported as lost once their lease has expired.
      */
     fun onDeregistration(name: String) {
         if (upstream.status?.incarnation?.name == name) upstream.status = null
@@ -167,15 +168,15 @@
         return effects
     }
 
-    /** Records that a renewal failed; [isUnreachable] if nothing listens at its address, so that it has ended. */
+    /**
+     * Records that a renewal failed; [isConnectionRefused] if its connection was refused. That does not show that the
+     * upstream has ended: a broken path refuses connections too, while the runs go on until their leases expire.
+     */
     fun onRenewalFailed(
-        isUnreachable: Boolean,
+        isConnectionRefused: Boolean,
         nowMillis: Long,
     ): List<LedgerEffect> {
-        if (isUnreachable) {
-            upstream.status = null
-            return endAll(RunEnd.LOST, nowMillis)
-        }
+        if (isConnectionRefused) upstream.isRefusingConnections = true
         val haveLeasesExpired = nowMillis - upstream.answeredAtMillis > LEASES_EXPIRED_AFTER_MILLIS
         return if (haveLeasesExpired) endAll(RunEnd.LOST, nowMillis) else emptyList()
     }
--- a/egretlock-core/src/main/kotlin/io/egretlock/core/run/UpstreamOrders.kt
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/run/UpstreamOrders.kt
@@ -47,6 +47,6 @@
     /** No answer arrived, or it can't be parsed. */
     data object Unanswered : RenewalResult
 
-    /** Nothing listens at the upstream's address, so its process has ended. */
-    data object Unreachable : RenewalResult
+    /** The connection was refused, by the upstream's instance or on the path to it. */
+    data object ConnectionRefused : RenewalResult
 }
--- a/egretlock-core/src/main/kotlin/io/egretlock/core/run/UpstreamView.kt
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/run/UpstreamView.kt
@@ -7,11 +7,12 @@
     private var currentStartedAtMillis: Long? = null
     private var clockMillis: Long? = null
 
-    /**
-     * Last heartbeat; null if none was received, or if the upstream has announced its end or is known to have ended.
-     */
+    /** Last heartbeat; null if none was received or if the upstream has announced its end. */
     var status: UpstreamStatus? = null
 
+    /** Whether the upstream has refused a connection since its last answer. */
+    var isRefusingConnections = false
+
     /** Time of the upstream's last answer, by the agent's clock. */
     var answeredAtMillis = 0L
         private set
@@ -52,6 +53,7 @@
         currentStartedAtMillis = answer.startedAtMillis
         clockMillis = max(answer.clockMillis, clockMillis ?: 0)
         answeredAtMillis = nowMillis
+        isRefusingConnections = false
     }
 
     /** Records that a new incarnation has started, whose clock is not known yet. */
