Refuse orders that may be too old, and wait for those still on their way

Cause: the entry places tasks again 1100 ms after it has lost the connection, which supposes that the agent notices the silence as soon. On an idle connection it notices up to 2 s later (heartbeats by activity), and what would tell it, the order, is what was held up. The order had no age. Ruled out: a stop that takes too long (the run was not at work before), a start that the upstream carried out late, and more frequent heartbeats on idle connections (entries times agents of them; a paused process would still send old orders). Change: an order names the agent's last heartbeat that the entry had received; the agent, which knows when it sent that one, refuses orders that may be older than 1200 ms. After a loss the entry places a task again 1100 ms after the order became invalid, unless a report shows that the agent has seen the order or the agent has reconnected. Orders are numbered by entry, so that an old report can't seem to cover a newer order. "tasks of a lost agent are placed elsewhere only when their runs can no longer be active" now reports the order as seen, for which its bound of 1100 ms stays; a new case has the longer bound for an order that is not.

--- a/egretlock-agent/src/main/kotlin/io/egretlock/agent/run/RunAgent.kt
+++ b/egretlock-agent/src/main/kotlin/io/egretlock/agent/run/RunAgent.kt
@@ -125,16 +125,32 @@
     ) {
         val state = entries[link] ?: return
         when (message) {
-            is StartRuns -> {
-                state.seenSequence = message.order.sequence
-                state.pacing.requestReport()
-                perform(ledger.onOrder(state.entry, message.order, now))
-            }
+            is StartRuns -> onOrdered(link, state, message, now)
             is StopRun -> perform(ledger.onStopRequested(message.run, now))
             else -> logger.debug { "Ignored a message that agents do not handle: $message" }
         }
     }
 
+    private fun onOrdered(
+        link: Link,
+        state: EntryState,
+        message: StartRuns,
+        now: Long,
+    ) {
+        val order = message.order
+        val ageMillis = message.heardHeartbeat?.let(link::millisSinceHeartbeat) ?: 0
+        logger.event(
+            RunAgentEvent.RUN_ORDERED,
+            "job" to order.job,
+            "home" to state.entry,
+            "runs" to order.runs.joinToString(" ") { "${it.step}.${it.index}#${it.number}" },
+            "ageMillis" to ageMillis,
+        )
+        state.seenSequence = order.sequence
+        state.pacing.requestReport()
+        perform(ledger.onOrder(state.entry, order, ageMillis, now))
+    }
+
     private fun onDisconnected(
         link: Link,
         now: Long,
--- a/egretlock-agent/src/test/kotlin/io/egretlock/agent/run/RunAgentTest.kt
+++ b/egretlock-agent/src/test/kotlin/io/egretlock/agent/run/RunAgentTest.kt
@@ -1,16 +1,20 @@
 package io.egretlock.agent.run
 
 import io.egretlock.core.job.FailureDomain
+import io.egretlock.core.job.JobId
 import io.egretlock.core.job.ProcessId
 import io.egretlock.core.job.ServiceName
 import io.egretlock.core.roster.NodeAddress
 import io.egretlock.core.run.ConnectedEntry
 import io.egretlock.core.run.EntryPreference
 import io.egretlock.core.run.FencingToken
+import io.egretlock.core.run.OrderedRun
 import io.egretlock.core.run.RenewalAnswer
 import io.egretlock.core.run.RenewalResult
 import io.egretlock.core.run.Room
+import io.egretlock.core.run.RunEnd
 import io.egretlock.core.run.RunId
+import io.egretlock.core.run.RunOrder
 import io.egretlock.core.run.StartAnswer
 import io.egretlock.core.run.StopAnswer
 import io.egretlock.core.run.UpstreamIncarnation
@@ -19,6 +23,8 @@
 import io.egretlock.protocol.Link
 import io.egretlock.protocol.LinkListener
 import io.egretlock.protocol.LinkTiming
+import io.egretlock.protocol.RunEnded
+import io.egretlock.protocol.StartRuns
 import io.egretlock.protocol.UpstreamReported
 import io.egretlock.sockets.EventLoop
 import kotlinx.coroutines.CoroutineScope
@@ -87,6 +93,27 @@
             }
         }
 
+    /** Guards against a run that starts from an order held up by a cut, after its entry has placed the task elsewhere. */
+    @Test
+    fun `given an order that may be too old, when it arrives, then nothing starts`() =
+        runBlocking {
+            withTimeout(DEADLINE_MILLIS) {
+                val listener =
+                    LinkListener.bind(NodeAddress("127.0.0.1", 0), loop, scope, LENIENT_TIMING, accepted::send)
+                val (agentEnd, entryEnd) = connect(listener, "entry")
+                agent.tell(RunAgentInput.HeartbeatReceived(STATUS))
+                scope.launch { agent.run() }
+                entryEnd.isPreferred()
+                delay(RunOrder.VALID_MILLIS + 1)
+                agent.tell(RunAgentInput.EntryMessage(agentEnd, StartRuns(ORDER, heardHeartbeat = 0)))
+                assertEquals(RunEnd.UNHEALTHY, entryEnd.nextRunEnd().end)
+            }
+        }
+
+    private suspend fun Link.nextRunEnd(): RunEnded {
+        while (true) (incoming.receive() as? RunEnded)?.let { return it }
+    }
+
     /** An upstream on which nothing runs. */
     private object IdleUpstream : UpstreamOrders {
         override suspend fun start(
@@ -130,6 +157,8 @@
                 sequence = 1,
             )
 
+        val ORDER = RunOrder(1, JobId("job"), "text", listOf(OrderedRun(0, 0, 1, Room(1_000, 64), 100.0)))
+
         fun known(name: String) = ConnectedEntry(ProcessId(name, 1), DOMAIN)
     }
 }
--- a/egretlock-core/src/main/kotlin/io/egretlock/core/run/ActiveJob.kt
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/run/ActiveJob.kt
@@ -52,6 +52,8 @@
     var nextRunNumber = 1
     var failures = 0
     var hasSucceeded = false
+    var orderSequence = 0L
+    var orderedAtMillis = 0L
     var notBeforeMillis = 0L
     var lostAgent: ProcessId? = null
     val failedOn = HashSet<ProcessId>()
@@ -62,9 +64,15 @@
     val run: RunId
         get() = RunId(id, runNumber)
 
-    /** Records that a run with the next run number was ordered from [orderedFrom]. */
-    fun recordOrder(orderedFrom: ProcessId) {
+    /** Records that a run with the next run number was ordered from [orderedFrom] by the order number [sequence]. */
+    fun recordOrder(
+        orderedFrom: ProcessId,
+        sequence: Long,
+        nowMillis: Long,
+    ) {
         agent = orderedFrom
         runNumber = nextRunNumber++
+        orderSequence = sequence
+        orderedAtMillis = nowMillis
     }
 }
--- a/egretlock-core/src/main/kotlin/io/egretlock/core/run/AgentRoom.kt
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/run/AgentRoom.kt
@@ -12,7 +12,7 @@
     report: UpstreamReport,
 ) {
     private val unseenOrders = ArrayDeque<UnseenOrder>()
-    private var lastSequence = 0L
+    private var lastSeenSequence = 0L
 
     /** Last report of the agent. */
     var report: UpstreamReport = report
@@ -27,11 +27,13 @@
         seenSequence: Long,
     ) {
         report = newReport
+        lastSeenSequence = seenSequence
         while (unseenOrders.isNotEmpty() && unseenOrders.first().sequence <= seenSequence) unseenOrders.removeFirst()
         free = unseenOrders.fold(newReport.free) { room, order -> room - order.room }
     }
 
-    internal fun nextSequence(): Long = ++lastSequence
+    /** Whether the last report covers the order with number [sequence], so that the agent has handled it. */
+    internal fun hasSeen(sequence: Long): Boolean = sequence <= lastSeenSequence
 
     internal fun reserve(room: Room) {
         free -= room
--- a/egretlock-core/src/main/kotlin/io/egretlock/core/run/AgentRooms.kt
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/run/AgentRooms.kt
@@ -20,6 +20,8 @@
     /** Speeds by service, kept until the next report, since a placement needs them for each waiting job. */
     private val fastestSpeeds = HashMap<ServiceName, Double>()
 
+    private var lastOrderSequence = 0L
+
     /** Agents that have reported an upstream. */
     val all: Collection<AgentRoom>
         get() = agents.values
@@ -58,6 +60,9 @@
         room.update(report, seenSequence)
     }
 
+    /** Returns the number of the next order to any agent. */
+    fun nextOrderSequence(): Long = ++lastOrderSequence
+
     /** Removes an agent whose connection has closed. */
     fun remove(agent: ProcessId) {
         removeUpstream(agent)
--- a/egretlock-core/src/main/kotlin/io/egretlock/core/run/RunEnd.kt
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/run/RunEnd.kt
@@ -26,6 +26,6 @@
     /** The run never started, because the upstream has seen a run of this task with the same or a higher number. */
     NUMBER_USED,
 
-    /** The run never started: the upstream reported that it is unhealthy, or did not answer. */
+    /** The run never started: the upstream is unhealthy or did not answer, or the order reached the agent too late. */
     UNHEALTHY,
 }
--- a/egretlock-core/src/main/kotlin/io/egretlock/core/run/RunLedger.kt
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/run/RunLedger.kt
@@ -95,12 +95,23 @@
         isDraining = true
     }
 
-    /** Accepts or refuses each run of [order]. */
+    /**
+     * Accepts or refuses each run of [order].
+     *
+     * @param ageMillis time for which the order may have been on its way. Its entry may have placed the tasks elsewhere
+     * if that exceeds [RunOrder.VALID_MILLIS].
+     */
     fun onOrder(
         entry: ProcessId,
         order: RunOrder,
+        ageMillis: Long,
         nowMillis: Long,
-    ): List<LedgerEffect> = order.runs.flatMap { acceptOrRefuse(entry, order, it, nowMillis) }
+    ): List<LedgerEffect> {
+        if (ageMillis > RunOrder.VALID_MILLIS) {
+            return order.runs.map { LedgerEffect.ReportEnd(entry, it.id(order.job), RunEnd.UNHEALTHY, 0.0) }
+        }
+        return order.runs.flatMap { acceptOrRefuse(entry, order, it, nowMillis) }
+    }
 
     /** Stops a run at the request of the entry that ordered it. */
     fun onStopRequested(
--- a/egretlock-core/src/main/kotlin/io/egretlock/core/run/RunOrder.kt
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/run/RunOrder.kt
@@ -6,7 +6,8 @@
 /**
  * Order to an agent to start runs of tasks of one job.
  *
- * @property sequence number of the order on its connection, from 1; an agent's report names the last one it covers.
+ * @property sequence number of the order; the entry's orders to an agent have increasing numbers, and an agent's report
+ * names the last one it covers.
  * @property specification text that is passed to the upstream with each task.
  */
 @Serializable
@@ -15,7 +16,16 @@
     val job: JobId,
     val specification: String,
     val runs: List<OrderedRun>,
-)
+) {
+    companion object {
+        /**
+         * Age up to which agents accept an order. An entry that has lost the connection over which it sent the order
+         * relies on this limit when it places the tasks again. Twice the interval of heartbeats on idle connections,
+         * since agents measure the age from the last heartbeat that the entry had received.
+         */
+        const val VALID_MILLIS = 1_200L
+    }
+}
 
 /**
  * A run of a [RunOrder].
--- a/egretlock-core/src/main/kotlin/io/egretlock/core/run/StepJobPlacer.kt
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/run/StepJobPlacer.kt
@@ -16,14 +16,14 @@
     ): List<StepJobEffect.Start> {
         val waiting = jobs.filter { it.isWaiting }
         if (waiting.isEmpty()) return emptyList()
-        val orders = LinkedHashMap<Pair<JobId, ProcessId>, MutableList<OrderedRun>>()
+        val orders = LinkedHashMap<Pair<JobId, ProcessId>, PendingOrder>()
         val inUse = inUse(jobs)
         for (job in policies.order.sorted(waiting, { latestStart(it) }, nowMillis)) {
             val available = rooms.available(job.queue.service, nowMillis)
             if (available.isEmpty()) continue
             placeJob(job, available, inUse, nowMillis, orders)
         }
-        return orders.map { (key, runs) -> startEffect(jobs, key.first, key.second, runs) }
+        return orders.map { (key, order) -> startEffect(jobs, key.first, key.second, order) }
     }
 
     /** Returns the time by which a job must start to meet its latency objective on the fastest upstream. */
@@ -53,7 +53,7 @@
         available: List<AgentRoom>,
         inUse: MutableMap<String, Long>,
         nowMillis: Long,
-        orders: MutableMap<Pair<JobId, ProcessId>, MutableList<OrderedRun>>,
+        orders: MutableMap<Pair<JobId, ProcessId>, PendingOrder>,
     ) {
         val fastestSpeed = available.maxOf { it.report.speed }
         val queue = job.queue.name
@@ -71,11 +71,11 @@
             policies.choice.choose(demand, candidates, fastestSpeed)?.let { chosen ->
                 chosen.reserve(demand.room)
                 rooms.useProbe(chosen.agent)
-                task.recordOrder(chosen.agent)
+                val order = orders.getOrPut(job.job.id to chosen.agent) { PendingOrder(rooms.nextOrderSequence()) }
+                task.recordOrder(chosen.agent, order.sequence, nowMillis)
                 job.hasStarted = true
                 inUse.merge(queue, demand.room.cpuMillicores, Long::plus)
-                val run = OrderedRun(task.id.step, task.id.index, task.runNumber, demand.room, expectedMillis)
-                orders.getOrPut(job.job.id to chosen.agent) { mutableListOf() } += run
+                order.runs += OrderedRun(task.id.step, task.id.index, task.runNumber, demand.room, expectedMillis)
             }
         }
     }
@@ -84,13 +84,19 @@
         jobs: Collection<ActiveJob>,
         job: JobId,
         agent: ProcessId,
-        runs: List<OrderedRun>,
+        order: PendingOrder,
     ): StepJobEffect.Start {
         val room = checkNotNull(rooms[agent]) { "Chosen agent $agent is not connected." }
-        val sequence = room.nextSequence()
-        room.recordSent(sequence, runs.fold(Room.NONE) { sum, run -> sum + run.room })
+        room.recordSent(order.sequence, order.runs.fold(Room.NONE) { sum, run -> sum + run.room })
         val specification = jobs.first { it.job.id == job }.job.specification
-        return StepJobEffect.Start(agent, RunOrder(sequence, job, specification, runs))
+        return StepJobEffect.Start(agent, RunOrder(order.sequence, job, specification, order.runs))
+    }
+
+    /** Runs of one job that are to be ordered from one agent. */
+    private class PendingOrder(
+        val sequence: Long,
+    ) {
+        val runs = mutableListOf<OrderedRun>()
     }
 
     companion object {
--- a/egretlock-core/src/main/kotlin/io/egretlock/core/run/StepJobScheduler.kt
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/run/StepJobScheduler.kt
@@ -104,18 +104,24 @@
 
     /**
      * Removes an agent whose connection was lost. Its runs have ended after [RUNS_ENDED_AFTER_MILLIS] at the latest:
-     * the agent stops them when it loses this entry, and if the agent has ended, their leases expire. Their tasks are
-     * placed again only after that time.
+     * the agent stops them when it loses this entry, and if the agent has ended, their leases expire. An order that the
+     * agent has not reported to have seen may still reach it and start runs while the order is valid, unless
+     * [hasReconnected]: an agent opens another connection only after it has given up the earlier one. The tasks are
+     * placed again only when none of that can happen any more.
      */
     fun onAgentLost(
         agent: ProcessId,
         nowMillis: Long,
+        hasReconnected: Boolean = false,
     ): List<StepJobEffect> {
+        val room = rooms[agent]
         rooms.remove(agent)
         tasksOf(agent).forEach { (_, task) ->
+            val isOrderSettled = hasReconnected || room?.hasSeen(task.orderSequence) ?: false
+            val validUntilMillis = if (isOrderSettled) nowMillis else task.orderedAtMillis + RunOrder.VALID_MILLIS
             task.agent = null
             task.lostAgent = agent
-            task.notBeforeMillis = nowMillis + RUNS_ENDED_AFTER_MILLIS
+            task.notBeforeMillis = maxOf(nowMillis, validUntilMillis) + RUNS_ENDED_AFTER_MILLIS
         }
         return placeAndExpire(nowMillis)
     }
--- a/egretlock-core/src/test/kotlin/io/egretlock/core/run/RunLedgerTest.kt
+++ b/egretlock-core/src/test/kotlin/io/egretlock/core/run/RunLedgerTest.kt
@@ -47,9 +47,10 @@
         number: Int = 1,
         from: ProcessId = entry,
         nowMillis: Long = 0,
+        ageMillis: Long = 0,
     ): List<LedgerEffect> {
         val ordered = OrderedRun(0, 0, number, RunFixtures.core, 100.0)
-        return ledger.onOrder(from, RunOrder(1, JobId(job), "text", listOf(ordered)), nowMillis)
+        return ledger.onOrder(from, RunOrder(1, JobId(job), "text", listOf(ordered)), ageMillis, nowMillis)
     }
 
     private fun List<LedgerEffect>.reportedEnd() = filterIsInstance<LedgerEffect.ReportEnd>().single().end
@@ -94,6 +95,14 @@
         assertEquals(RunEnd.NOT_STARTED, order("b").reportedEnd())
     }
 
+    /** Guards against a second run of a task by an order that was held up while its entry placed the task elsewhere. */
+    @Test
+    fun `an order that may be too old is refused without a start`() {
+        ready()
+        assertEquals(RunEnd.UNHEALTHY, order("a", ageMillis = RunOrder.VALID_MILLIS + 1).reportedEnd())
+        assertTrue(order("b", ageMillis = RunOrder.VALID_MILLIS).single() is LedgerEffect.Start)
+    }
+
     @Test
     fun `an order carries a deadline on the upstream's clock as of its last answer`() {
         ready()
@@ -316,7 +325,11 @@
         assertTrue(ledger.onRenewalFailed(isConnectionRefused = false, RunLedger.LEASES_EXPIRED_AFTER_MILLIS).isEmpty())
         assertEquals(
             RunEnd.LOST,
-            ledger.onRenewalFailed(isConnectionRefused = false, RunLedger.LEASES_EXPIRED_AFTER_MILLIS + 1).reportedEnd(),
+            ledger
+                .onRenewalFailed(
+                    isConnectionRefused = false,
+                    RunLedger.LEASES_EXPIRED_AFTER_MILLIS + 1,
+                ).reportedEnd(),
         )
     }
 
--- a/egretlock-core/src/test/kotlin/io/egretlock/core/run/StepJobSchedulerTest.kt
+++ b/egretlock-core/src/test/kotlin/io/egretlock/core/run/StepJobSchedulerTest.kt
@@ -24,7 +24,8 @@
         agent: ProcessId,
         cores: Int,
         nowMillis: Long = 0,
-    ) = scheduler.onAgentReported(agent, ownDomain, report(cores), 0, nowMillis)
+        seenSequence: Long = 0,
+    ) = scheduler.onAgentReported(agent, ownDomain, report(cores), seenSequence, nowMillis)
 
     private fun succeed(
         agent: ProcessId,
@@ -168,6 +169,7 @@
     fun `tasks of a lost agent are placed elsewhere only when their runs can no longer be active`() {
         connect(first, 10)
         scheduler.submit(job("a"), queue(), 5_000, 0)
+        connect(first, 9, seenSequence = 1)
         connect(second, 10)
         assertTrue(scheduler.onAgentLost(first, 100).starts().isEmpty())
         assertTrue(scheduler.tick(100 + StepJobScheduler.RUNS_ENDED_AFTER_MILLIS - 1).starts().isEmpty())
@@ -175,6 +177,25 @@
         assertEquals(second, retry.agent)
     }
 
+    /** Guards against two runs of a task at a time after a cut has held up the order of the first one. */
+    @Test
+    fun `tasks of an order that may still reach a lost agent are placed only after the runs that it may start`() {
+        connect(first, 10)
+        scheduler.submit(job("a"), queue(), 5_000, 20)
+        connect(second, 10)
+        scheduler.onAgentLost(first, 620)
+        val endsAtMillis = 20 + RunOrder.VALID_MILLIS + StepJobScheduler.RUNS_ENDED_AFTER_MILLIS
+        assertTrue(scheduler.tick(endsAtMillis - 1).starts().isEmpty())
+        assertEquals(
+            second,
+            scheduler
+                .tick(endsAtMillis)
+                .starts()
+                .single()
+                .agent,
+        )
+    }
+
     @Test
     fun `tasks of a lost agent are placed at once when its next process has reported`() {
         connect(first, 10)
--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/run/RunEntry.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/run/RunEntry.kt
@@ -166,7 +166,7 @@
         val agent = input.hello.agent
         links[agent]?.let { earlier ->
             earlier.close()
-            onDisconnected(earlier, now)
+            onDisconnected(earlier, now, hasReconnected = true)
         }
         scheduler.onAgentConnected(agent, now)
         agents[input.link] = input.hello
@@ -215,11 +215,12 @@
     private fun onDisconnected(
         link: Link,
         now: Long,
+        hasReconnected: Boolean = false,
     ) {
         val hello = agents.remove(link) ?: return
         links.remove(hello.agent)
-        logger.event(RunEntryEvent.AGENT_LOST, "agent" to hello.agent)
-        perform(scheduler.onAgentLost(hello.agent, now))
+        logger.event(RunEntryEvent.AGENT_LOST, "agent" to hello.agent, "hasReconnected" to hasReconnected)
+        perform(scheduler.onAgentLost(hello.agent, now, hasReconnected))
     }
 
     private fun perform(effects: List<StepJobEffect>) {
@@ -242,7 +243,7 @@
         )
         val link = links[effect.agent] ?: return
         link.markBusy()
-        link.send(StartRuns(order))
+        link.send(StartRuns(order, link.lastReceivedHeartbeat))
     }
 
     private fun stop(effect: StepJobEffect.Stop) {
--- a/egretlock-entry/src/test/kotlin/io/egretlock/entry/run/RunEntryTest.kt
+++ b/egretlock-entry/src/test/kotlin/io/egretlock/entry/run/RunEntryTest.kt
@@ -33,6 +33,7 @@
 import kotlinx.coroutines.test.runTest
 import kotlinx.coroutines.withTimeout
 import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
 import java.util.concurrent.atomic.AtomicLong
 import kotlin.random.Random
@@ -78,6 +79,25 @@
             }
         }
 
+    /** Guards against orders whose age the agent can't bound, see the order of `RunAgentTest` that may be too old. */
+    @Test
+    fun `given an agent whose heartbeats arrive, when runs are ordered, then the order names the last of them`() =
+        runBlocking {
+            val entry = RunEntry(StepJobPolicies.default(Random(1)), { 0 }, { 1_700_000_000 })
+            withAgentLinks(entry) { connect ->
+                val agentEnd = connect()
+                var heard = 0L
+                var job = 0
+                while (heard == 0L) {
+                    entry.tell(submitted("job-${job++}"))
+                    heard = (agentEnd.incoming.receive() as StartRuns).heardHeartbeat ?: 0
+                    entry.tell(RunEntryInput.Cancelled(JobId("job-${job - 1}")))
+                    agentEnd.incoming.receive()
+                }
+                assertTrue(agentEnd.millisSinceHeartbeat(heard) < DEADLINE_MILLIS)
+            }
+        }
+
     /** Passes [body] a function that connects one and the same agent to [entry] and returns the agent's end. */
     private suspend fun withAgentLinks(
         entry: RunEntry,
--- a/egretlock-protocol/src/main/kotlin/io/egretlock/protocol/Link.kt
+++ b/egretlock-protocol/src/main/kotlin/io/egretlock/protocol/Link.kt
@@ -65,9 +65,14 @@
     private val activity = LinkActivity()
     private val silence = LinkSilence(timing, activity)
     private val becameBusy = Channel<Unit>(Channel.CONFLATED)
+    private val sentHeartbeats = SentHeartbeats()
     private val lastReceivedSequence = AtomicLong()
     private val lifetime = SupervisorJob(scope.coroutineContext[Job])
 
+    /** Number of the peer's last heartbeat that has arrived; 0 before the first one. */
+    val lastReceivedHeartbeat: Long
+        get() = lastReceivedSequence.get()
+
     /** Messages from the peer, without heartbeats. */
     val incoming: ReceiveChannel<Message> = received
 
@@ -89,6 +94,13 @@
         if (activity.mark()) onBusy()
     }
 
+    /**
+     * Time since this end sent its heartbeat number [sequence]. A message that the peer sent after it had received that
+     * heartbeat is not older. If the heartbeat is unknown, the time since the connection was opened. Called on the
+     * loop's thread.
+     */
+    fun millisSinceHeartbeat(sequence: Long): Long = sentHeartbeats.millisSince(sequence)
+
     /** Closes the connection; idempotent. */
     fun close() {
         outgoing.close()
@@ -172,9 +184,8 @@
     }
 
     private suspend fun sendHeartbeats() {
-        var sequence = 0L
         while (!silence.hasTimedOut) {
-            send(Heartbeat(++sequence, lastReceivedSequence.get(), activity.isOwnBusy))
+            send(Heartbeat(sentHeartbeats.next(), lastReceivedSequence.get(), activity.isOwnBusy))
             awaitNextHeartbeat()
         }
         logger.debug { "Connection closed after ${silence.silentMillis()} ms of silence." }
--- a/egretlock-protocol/src/main/kotlin/io/egretlock/protocol/RunMessages.kt
+++ b/egretlock-protocol/src/main/kotlin/io/egretlock/protocol/RunMessages.kt
@@ -43,11 +43,17 @@
     val seenSequence: Long,
 ) : Message
 
-/** Orders an agent to start runs. */
+/**
+ * Orders an agent to start runs.
+ *
+ * @property heardHeartbeat number of the agent's last heartbeat that the entry had received when it sent the order, see
+ * [Link.millisSinceHeartbeat]; null from an earlier version of the program, which does not bound the age of its orders.
+ */
 @Serializable
 @SerialName("start-runs")
 data class StartRuns(
     val order: RunOrder,
+    val heardHeartbeat: Long? = null,
 ) : Message
 
 /** Orders an agent to stop a run. */
