Apply a configuration in the time allowed when connections to the store go silent

Cause: the wait of the watch (2 s), the timeout of its answer (1 s), a pause (150 ms) and the timeout of a read on a second connection that had gone silent too (1 s) add up to more than 4 s. Other entries can't help, since a new version restarts all watches at once. Evidence: the constants, and the logs of the case: 1532 at the end of the watch's timeout on both entries within 1 ms, 1530 right after the first read that was answered. Ruled out: a slow store, an unreadable document, and watches of other entries at other phases (they are equal).

--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/run/ConfigurationTracker.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/run/ConfigurationTracker.kt
@@ -1,6 +1,7 @@
 package io.egretlock.entry.run
 
 import io.egretlock.core.run.QueueConfiguration
+import io.egretlock.platform.PlatformStore
 import io.egretlock.process.event
 import io.egretlock.store.KeyValueStore
 import io.egretlock.store.StoreEntry
@@ -83,8 +84,24 @@
         if (entry.key == key) entry.value?.let { offer(it, "store") }
     }
 
-    private companion object {
-        /** Delay after a failed read or an ended watch; a new version has to be applied within two seconds. */
-        const val RETRY_MILLIS = 150L
+    companion object {
+        /** Delay after a failed read or an ended watch. */
+        private const val RETRY_MILLIS = 150L
+
+        /** Time for a read over a new connection. */
+        const val READ_MILLIS = 150L
+
+        /** Shortest wait of a watch, whatever time is allowed, so that an entry makes few calls to the store. */
+        private const val MIN_WATCH_MILLIS = 300L
+
+        /**
+         * Longest wait of a watch at the store with which a version is applied within [applyMillis] even if the
+         * connection of the watch went silent just before the version was stored: the watch has to time out before the
+         * store is read again. The watches of all entries begin anew with each version, so that other entries notice
+         * no sooner.
+         */
+        fun watchMillis(applyMillis: Long): Long =
+            (applyMillis - PlatformStore.WATCH_TIMEOUT_MILLIS - RETRY_MILLIS - READ_MILLIS)
+                .coerceAtLeast(MIN_WATCH_MILLIS)
     }
 }
--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/run/RunEntryProcess.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/run/RunEntryProcess.kt
@@ -49,7 +49,7 @@
     private val directory = EntryDirectory(store, store)
     private val tracker =
         ConfigurationTracker(
-            createStore(CONFIGURATION_WATCH_MILLIS),
+            createStore(ConfigurationTracker.watchMillis(settings.configurationMillis)),
             PlatformStore.CONFIGURATION_PREFIX,
             WireConfiguration::decode,
         ) { configuration, _ ->
@@ -179,13 +179,7 @@
         const val POLL_MILLIS = 20L
         const val STORE_RETRY_MILLIS = 500L
 
-        /**
-         * Time that a watch waits at the store for changes. A new configuration has to be applied within two seconds
-         * even if the watch went silent.
-         */
-        const val CONFIGURATION_WATCH_MILLIS = 2_000L
-
-        /** Longer than for the configuration, since entries also name new entries to agents and to each other. */
+        /** Time that a watch waits at the store. Longer than for the configuration, since entries also name new entries to agents and to each other. */
         const val DIRECTORY_WATCH_MILLIS = 10_000L
 
         val TIMING = RunLinkTiming.TIMING
