--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/run/RunEntryProcess.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/run/RunEntryProcess.kt
@@ -179,7 +179,10 @@
         const val POLL_MILLIS = 20L
         const val STORE_RETRY_MILLIS = 500L
 
-        /** Time that a watch waits at the store. Longer than for the configuration, since entries also name new entries to agents and to each other. */
+        /**
+         * Time that a watch waits at the store for changes of the list. Longer than for the configuration, since
+         * entries also name new entries to agents and to each other.
+         */
         const val DIRECTORY_WATCH_MILLIS = 10_000L
 
         val TIMING = RunLinkTiming.TIMING
