Log what shows an agent that a run is over, and runs that it has no record of

The hypotheses could not be told apart in the logs of an agent: it did not say why it refused an order, by what it took a run for over, how old the upstream's last answer was then, or that it stopped a run that it has no record of.

Event 2541 now has the cause, the age of the last answer, and the other runs of the task with their entries; event 2543 (WARN) names each run that the upstream lists and the agent has no record of. Nothing is decided differently.

--- a/egretlock-agent/src/main/kotlin/io/egretlock/agent/run/RunAgent.kt
+++ b/egretlock-agent/src/main/kotlin/io/egretlock/agent/run/RunAgent.kt
@@ -51,7 +51,7 @@
 
     /** Number of runs that have not ended. */
     val runCount: Int
-        get() = ledger.size
+        get() = ledger.runs.size
 
     /** Enqueues [input] for the coroutine that owns the ledger. */
     fun tell(input: RunAgentInput) {
@@ -70,7 +70,7 @@
             }
             markBusyLinks()
             val hasReportPending = report()
-            if (hasReportPending || ledger.size > 0) scheduleTick()
+            if (hasReportPending || ledger.runs.size > 0) scheduleTick()
         }
     }
 
@@ -85,7 +85,7 @@
     }
 
     private fun markBusyLinks() {
-        val busyEntries = ledger.entries
+        val busyEntries = ledger.runs.entries
         for ((link, state) in entries) if (state.entry in busyEntries) link.markBusy()
     }
 
@@ -241,6 +241,7 @@
 
     private fun stop(effect: LedgerEffect.Stop) {
         val token = fence.value
+        if (effect.run !in ledger.runs) logger.event(RunAgentEvent.UNKNOWN_RUN, "run" to effect.run, "token" to token)
         scope.launch {
             val answer = orders.stop(effect.run, token)
             tell(RunAgentInput.StopAnswered(effect.run, answer, token))
@@ -253,7 +254,10 @@
             "run" to effect.run,
             "home" to effect.entry,
             "end" to effect.end,
+            "cause" to effect.cause,
             "ms" to effect.runMillis.toLong(),
+            "answerAgeMillis" to nowMillis() - ledger.answeredAtMillis,
+            "otherRuns" to ledger.runs.entriesOf(effect.run.task).takeIf { it.isNotEmpty() },
         )
         val (link, state) = entries.entries.lastOrNull { it.value.entry == effect.entry } ?: return
         state.pacing.requestReport()
--- a/egretlock-agent/src/main/kotlin/io/egretlock/agent/run/RunAgentEvent.kt
+++ b/egretlock-agent/src/main/kotlin/io/egretlock/agent/run/RunAgentEvent.kt
@@ -22,5 +22,6 @@
     RUN_ORDERED(2540, Level.INFO, "Runs were ordered."),
     RUN_ENDED(2541, Level.INFO, "A run ended."),
     FENCED(2542, Level.WARN, "The upstream rejected a fencing token as too low; a higher one is used."),
+    UNKNOWN_RUN(2543, Level.WARN, "The upstream lists a run that this agent has no record of; it is stopped."),
     COROUTINE_FAILED(2550, Level.ERROR, "A coroutine that the agent cannot do without failed; the process ends."),
 }
--- a/egretlock-core/src/main/kotlin/io/egretlock/core/run/LedgerEffect.kt
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/run/LedgerEffect.kt
@@ -16,12 +16,13 @@
         val run: RunId,
     ) : LedgerEffect
 
-    /** Report to the entry [entry], which ordered [run], that the run has ended. */
+    /** Report to the entry [entry], which ordered [run], that the run has ended; [cause] says what showed that. */
     data class ReportEnd(
         val entry: ProcessId,
         val run: RunId,
         val end: RunEnd,
         val runMillis: Double,
+        val cause: EndCause,
     ) : LedgerEffect
 
     /**
--- a/egretlock-core/src/main/kotlin/io/egretlock/core/run/RunLedger.kt
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/run/RunLedger.kt
@@ -11,7 +11,8 @@
  * of a monotonic clock, except those named `clockMillis`, which are times of the upstream's clock.
  */
 class RunLedger {
-    private val runs = LinkedHashMap<RunId, LedgerRun>()
+    /** Runs that were accepted and have not ended. */
+    val runs = LedgerRuns()
     private val speedEstimate = SpeedEstimate()
     private val upstream = UpstreamView()
     private var isDraining = false
@@ -29,13 +30,9 @@
     var lastEnd = 0L
         private set
 
-    /** Number of runs that hold room. */
-    val size: Int
-        get() = runs.size
-
-    /** Entries that ordered the runs that have not ended. */
-    val entries: Set<ProcessId>
-        get() = runs.values.mapTo(HashSet()) { it.entry }
+    /** Time of the upstream's last answer to a renewal. */
+    val answeredAtMillis: Long
+        get() = upstream.answeredAtMillis
 
     /**
      * Returns the deadline that the next renewal carries; null if it must not renew the lease. A renewal extends the
@@ -43,7 +40,7 @@
      * the lease of those runs then expires.
      */
     fun renewalDeadlineClockMillis(nowMillis: Long): Long? {
-        val mayRenew = isUpstreamCleared && runs.isNotEmpty() && runs.values.none { isStopOverdue(it, nowMillis) }
+        val mayRenew = isUpstreamCleared && runs.size > 0 && runs.all.none { isStopOverdue(it, nowMillis) }
         return if (mayRenew) upstream.leaseDeadlineClockMillis else null
     }
 
@@ -53,7 +50,7 @@
      * runs are active.
      */
     val renewalWaitMillis: Long
-        get() = if (runs.isEmpty()) IDLE_WAIT_MILLIS else BUSY_WAIT_MILLIS
+        get() = if (runs.size == 0) IDLE_WAIT_MILLIS else BUSY_WAIT_MILLIS
 
     /**
      * Returns the report for the entries; null if no upstream is known, if it refuses connections, or if runs of an
@@ -62,12 +59,11 @@
     fun report(): UpstreamReport? {
         val status = upstream.status ?: return null
         if (!wasUpstreamCleared || upstream.isRefusingConnections) return null
-        val used = runs.values.fold(Room.NONE) { sum, run -> sum + run.ordered.room }
         return UpstreamReport(
             upstream = "${status.incarnation.name}@${status.incarnation.startedAtMillis}",
             service = status.service,
             total = status.room,
-            free = status.room - used,
+            free = status.room - runs.room,
             speed = speedEstimate.speed,
             accepting = !isDraining && !status.isDraining && upstream.leaseDeadlineClockMillis != null,
         )
@@ -108,7 +104,9 @@
         nowMillis: Long,
     ): List<LedgerEffect> {
         if (ageMillis > RunOrder.VALID_MILLIS) {
-            return order.runs.map { LedgerEffect.ReportEnd(entry, it.id(order.job), RunEnd.UNHEALTHY, 0.0) }
+            return order.runs.map {
+                LedgerEffect.ReportEnd(entry, it.id(order.job), RunEnd.UNHEALTHY, 0.0, EndCause.ORDER_TOO_OLD)
+            }
         }
         return order.runs.flatMap { acceptOrRefuse(entry, order, it, nowMillis) }
     }
@@ -126,8 +124,7 @@
     fun onEntryLost(
         entry: ProcessId,
         nowMillis: Long,
-    ): List<LedgerEffect> =
-        runs.values.filter { it.entry == entry }.mapNotNull { requestStop(it, RunEnd.STOPPED, nowMillis) }
+    ): List<LedgerEffect> = runs.orderedBy(entry).mapNotNull { requestStop(it, RunEnd.STOPPED, nowMillis) }
 
     /** Records the answer to an order to start a run. */
     fun onStartAnswered(
@@ -145,10 +142,11 @@
                 if (run.confirmedAfterRenewal != null) return emptyList()
                 listOfNotNull(requestStop(run, RunEnd.UNHEALTHY, nowMillis))
             }
-            StartAnswer.NUMBER_USED -> finish(run, run.stopReason ?: RunEnd.NUMBER_USED, nowMillis)
-            StartAnswer.UNHEALTHY -> finish(run, RunEnd.UNHEALTHY, nowMillis)
+            StartAnswer.NUMBER_USED ->
+                finish(run, run.stopReason ?: RunEnd.NUMBER_USED, EndCause.START_REFUSED, nowMillis)
+            StartAnswer.UNHEALTHY -> finish(run, RunEnd.UNHEALTHY, EndCause.START_REFUSED, nowMillis)
             StartAnswer.TOO_LATE, StartAnswer.NO_ROOM, StartAnswer.FENCED, StartAnswer.REFUSED ->
-                finish(run, RunEnd.NOT_STARTED, nowMillis)
+                finish(run, RunEnd.NOT_STARTED, EndCause.START_REFUSED, nowMillis)
         }
     }
 
@@ -194,7 +192,7 @@
 
     /** Repeats orders to stop that were not acknowledged. */
     fun tick(nowMillis: Long): List<LedgerEffect> =
-        runs.values
+        runs.all
             .filter { it.stopReason != null && it.stoppedAfterRenewal == null }
             .filter { nowMillis - it.stopSentAtMillis >= STOP_RETRY_MILLIS }
             .map { run ->
@@ -214,18 +212,23 @@
         nowMillis: Long,
     ): List<LedgerEffect> {
         val id = ordered.id(order.job)
-        val others = runs.values.filter { it.id.task == id.task }
+        val others = runs.ofTask(id.task)
         val deadline = upstream.leaseDeadlineClockMillis
-        if (deadline == null || others.isNotEmpty() || !hasRoom(ordered.room)) {
+        val refusal = if (others.isNotEmpty()) EndCause.OTHER_RUN else refusal(ordered.room)
+        if (deadline == null || refusal != null) {
             val earlier = others.filter { it.id.number < ordered.number }
             val stops = earlier.mapNotNull { requestStop(it, RunEnd.STOPPED, nowMillis) }
-            return stops + LedgerEffect.ReportEnd(entry, id, RunEnd.NOT_STARTED, 0.0)
+            val cause = refusal ?: EndCause.NOT_ACCEPTING
+            return stops + LedgerEffect.ReportEnd(entry, id, RunEnd.NOT_STARTED, 0.0, cause)
         }
-        runs[id] = LedgerRun(id, entry, ordered, nowMillis)
+        runs.add(LedgerRun(id, entry, ordered, nowMillis))
         return listOf(LedgerEffect.Start(id, order.specification, deadline))
     }
 
-    private fun hasRoom(demand: Room): Boolean = report()?.let { it.accepting && it.free.canHold(demand) } ?: false
+    private fun refusal(demand: Room): EndCause? {
+        val report = report()?.takeIf { it.accepting } ?: return EndCause.NOT_ACCEPTING
+        return if (report.free.canHold(demand)) null else EndCause.NO_ROOM
+    }
 
     private fun requestStop(
         run: LedgerRun,
@@ -246,7 +249,7 @@
         lastEnd = max(lastEnd, end.sequence)
         val run = runs[end.run] ?: return emptyList()
         val reportedEnd = if (end.end == RunEnd.STOPPED) run.stopReason ?: RunEnd.STOPPED else end.end
-        return finish(run, reportedEnd, nowMillis)
+        return finish(run, reportedEnd, EndCause.LISTED, nowMillis)
     }
 
     private fun reconcileActiveRuns(
@@ -261,10 +264,12 @@
         wasUpstreamCleared = wasUpstreamCleared || isUpstreamCleared
         active.forEach { seen -> runs[seen.run]?.let { effects += recordProgress(it, seen.percent, nowMillis) } }
         val activeIds = active.mapTo(HashSet()) { it.run }
-        for (run in runs.values.filter { it.id !in activeIds }) {
+        for (run in runs.all.filter { it.id !in activeIds }) {
             val isStopped = run.stoppedAfterRenewal?.let { it < renewal } ?: false
             val hasVanished = run.confirmedAfterRenewal?.let { it < renewal } ?: false
-            if (isStopped || hasVanished) effects += finish(run, run.stopReason ?: RunEnd.LOST, nowMillis)
+            if (isStopped || hasVanished) {
+                effects += finish(run, run.stopReason ?: RunEnd.LOST, EndCause.NOT_LISTED, nowMillis)
+            }
         }
         return effects
     }
@@ -287,18 +292,19 @@
     private fun finish(
         run: LedgerRun,
         end: RunEnd,
+        cause: EndCause,
         nowMillis: Long,
     ): List<LedgerEffect> {
-        runs.remove(run.id)
+        runs.remove(run)
         val runMillis = (nowMillis - run.orderedAtMillis).toDouble()
         if (end == RunEnd.SUCCEEDED) speedEstimate.record(run.ordered.expectedMillis, runMillis)
-        return listOf(LedgerEffect.ReportEnd(run.entry, run.id, end, runMillis))
+        return listOf(LedgerEffect.ReportEnd(run.entry, run.id, end, runMillis, cause))
     }
 
     private fun endAll(
         end: RunEnd,
         nowMillis: Long,
-    ): List<LedgerEffect> = runs.values.toList().flatMap { finish(it, end, nowMillis) }
+    ): List<LedgerEffect> = runs.all.flatMap { finish(it, end, EndCause.LEASE_EXPIRED, nowMillis) }
 
     private fun resetAfterRestart(startedAtMillis: Long) {
         upstream.restarted(startedAtMillis)
