Show that a run is reported as lost while its start is on its way

RunAgentTest: an agent whose start waits for a connection reports the run as LOST; the end of run 1 reaches the entry before the refusal of run 2 (expected 2, was 1).

--- a/egretlock-agent/src/test/kotlin/io/egretlock/agent/run/RunAgentTest.kt
+++ b/egretlock-agent/src/test/kotlin/io/egretlock/agent/run/RunAgentTest.kt
@@ -14,6 +14,7 @@
 import io.egretlock.core.run.Room
 import io.egretlock.core.run.RunEnd
 import io.egretlock.core.run.RunId
+import io.egretlock.core.run.RunLedger
 import io.egretlock.core.run.RunOrder
 import io.egretlock.core.run.StartAnswer
 import io.egretlock.core.run.StopAnswer
@@ -27,6 +28,7 @@
 import io.egretlock.protocol.StartRuns
 import io.egretlock.protocol.UpstreamReported
 import io.egretlock.sockets.EventLoop
+import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.cancel
@@ -110,6 +112,32 @@
             }
         }
 
+    /** Guards against a start that reaches a restarted upstream after its run was reported as lost. */
+    @Test
+    fun `given a start that waits for a connection, when the upstream falls silent, then its run is not over yet`() =
+        runBlocking {
+            withTimeout(DEADLINE_MILLIS) {
+                val upstream = SilentUpstream()
+                val agent = RunAgent(upstream, scope, FencingToken(1), AGENT, DOMAIN) { upstream.nowMillis }
+                val listener =
+                    LinkListener.bind(NodeAddress("127.0.0.1", 0), loop, scope, LENIENT_TIMING, accepted::send)
+                val agentEnd = Link.dial(NodeAddress("127.0.0.1", listener.port), loop, scope, LENIENT_TIMING)
+                agent.tell(RunAgentInput.EntryConnected(known("entry"), agentEnd))
+                val entryEnd = accepted.receive()
+                agent.tell(RunAgentInput.HeartbeatReceived(STATUS))
+                scope.launch { agent.run() }
+                entryEnd.isPreferred()
+
+                agent.tell(RunAgentInput.EntryMessage(agentEnd, StartRuns(ORDER)))
+                upstream.fallSilentDuringStart()
+                agent.tell(RunAgentInput.EntryMessage(agentEnd, StartRuns(SECOND_ORDER)))
+                assertEquals(2, entryEnd.nextRunEnd().run.number)
+
+                upstream.endStart()
+                assertEquals(1, entryEnd.nextRunEnd().run.number)
+            }
+        }
+
     private suspend fun Link.nextRunEnd(): RunEnded {
         while (true) (incoming.receive() as? RunEnded)?.let { return it }
     }
@@ -139,6 +167,69 @@
         }
     }
 
+    /** An upstream that falls silent, for longer than leases last, while its only start is not answered yet. */
+    private class SilentUpstream : UpstreamOrders {
+        private val startCalled = CompletableDeferred<Unit>()
+        private val startEnded = CompletableDeferred<Unit>()
+        private val failedRenewals = Channel<Unit>(Channel.UNLIMITED)
+
+        @Volatile
+        private var isSilent = false
+
+        @Volatile
+        var nowMillis = 0L
+            private set
+
+        /** Returns once the agent has handled a renewal that failed after all leases had expired. */
+        suspend fun fallSilentDuringStart() {
+            startCalled.await()
+            isSilent = true
+            repeat(FAILED_RENEWALS) { failedRenewals.receive() }
+            nowMillis += RunLedger.LEASES_EXPIRED_AFTER_MILLIS + 1
+            repeat(FAILED_RENEWALS) { failedRenewals.receive() }
+        }
+
+        /** Ends the start without an answer, and lets the time pass in which a lease that it took would expire. */
+        suspend fun endStart() {
+            startEnded.complete(Unit)
+            repeat(FAILED_RENEWALS) { failedRenewals.receive() }
+            nowMillis += RunLedger.LEASES_EXPIRED_AFTER_MILLIS + 1
+        }
+
+        override suspend fun start(
+            run: RunId,
+            specification: String,
+            deadlineClockMillis: Long,
+            fencingToken: Long,
+        ): StartAnswer {
+            startCalled.complete(Unit)
+            startEnded.await()
+            return StartAnswer.UNANSWERED
+        }
+
+        override suspend fun stop(
+            run: RunId,
+            fencingToken: Long,
+        ): StopAnswer = StopAnswer.UNANSWERED
+
+        override suspend fun renew(
+            deadlineClockMillis: Long?,
+            lastEnd: Long,
+            waitMillis: Long,
+            fencingToken: Long,
+        ): RenewalResult {
+            delay(1)
+            if (!isSilent) return IdleUpstream.renew(deadlineClockMillis, lastEnd, waitMillis, fencingToken)
+            failedRenewals.send(Unit)
+            return RenewalResult.Unanswered
+        }
+
+        private companion object {
+            /** The third failure in a row begins after the agent has handled the first. */
+            const val FAILED_RENEWALS = 3
+        }
+    }
+
     private companion object {
         const val AGENT = "agent"
         const val DEADLINE_MILLIS = 60_000L
@@ -159,6 +250,8 @@
 
         val ORDER = RunOrder(1, JobId("job"), "text", listOf(OrderedRun(0, 0, 1, Room(1_000, 64), 100.0)))
 
+        val SECOND_ORDER = ORDER.copy(sequence = 2, runs = ORDER.runs.map { it.copy(number = 2) })
+
         fun known(name: String) = ConnectedEntry(ProcessId(name, 1), DOMAIN)
     }
 }
--- a/egretlock-core/src/test/kotlin/io/egretlock/core/run/RunLedgerTest.kt
+++ b/egretlock-core/src/test/kotlin/io/egretlock/core/run/RunLedgerTest.kt
@@ -333,6 +333,18 @@
         )
     }
 
+    /** Guards against a start that is carried out after its run was reported as lost and its task was placed elsewhere. */
+    @Test
+    fun `a run whose start may still be carried out is not reported as lost when the upstream falls silent`() {
+        ready()
+        order()
+        val silentMillis = RunLedger.LEASES_EXPIRED_AFTER_MILLIS + 1
+        assertTrue(ledger.onRenewalFailed(isConnectionRefused = false, silentMillis).isEmpty())
+        ledger.onStartAnswered(run("a"), StartAnswer.UNANSWERED, silentMillis)
+        assertTrue(ledger.onRenewalFailed(isConnectionRefused = false, silentMillis + 1).isEmpty())
+        ledger.onRenewalFailed(isConnectionRefused = false, 2 * silentMillis).reportedEnd()
+    }
+
     @Test
     fun `connections are closed when the upstream's clock shows that the agent was paused`() {
         ready()
