Take a run for over only when its start can no longer be carried out

Cause: 1030 ms after an upstream's last answer the agent reported all its runs as lost. Runs that are at work have lost their lease by then, and a start that arrives has missed its deadline, but both only by the clock of that incarnation. The clock of the next one begins anew. While an upstream is silent, an agent went on accepting orders, whose starts waited for one of four connections, each for 80 ms a call; so starts of runs that had long been reported as lost were sent to the next incarnation, which carried them out, while the tasks had been placed elsewhere or on the same upstream. The next list then showed runs without a record, which were all stopped at once, as in the users' record.

Class: an order that outlives the decision that took it back, as its limit was a time of a clock that restarts.

Ruled out: two entries that hold one job (all 30 unknown runs of a script had been reported as lost by the same agent; in case 2 of the record both runs are by one agent); orders carried out late (none is marked so); upstreams that refuse connections (0 overlaps in 45 s).

Change: - A run is lost only once its start call has ended; its lease counts from then, if no renewal was answered since. - A start is sent, also for the second time on a new connection, only if its run is still wanted, the upstream is in the incarnation that it was accepted for, and its deadline has not passed. - The fencing token rises when the upstream has restarted, so that orders on their way to the earlier incarnation are refused. - An upstream that leaves a renewal and its repetition unanswered is reported as gone until it answers. It used to be reported as accepting for as long as it was silent.

New cases of RunLedgerTest, FencingTokenTest, HttpConnectionTest and RunAgentTest need the new functions. Two tests of RunLedgerTest on expired leases now say that the start was answered at time 0, with the same bounds; one had no answer to its start and so asserted this fault.

--- a/egretlock-agent/src/main/kotlin/io/egretlock/agent/run/RunAgent.kt
+++ b/egretlock-agent/src/main/kotlin/io/egretlock/agent/run/RunAgent.kt
@@ -48,6 +48,7 @@
     private var lastReport: UpstreamReport? = null
     private var preferredEntry: ProcessId? = null
     private var isTickScheduled = false
+    private var upstreamStartedAtMillis: Long? = null
 
     /** Number of runs that have not ended. */
     val runCount: Int
@@ -95,7 +96,10 @@
             is RunAgentInput.EntryConnected -> onConnected(input)
             is RunAgentInput.EntryMessage -> onMessage(input.link, input.message, now)
             is RunAgentInput.EntryLost -> onDisconnected(input.link, now)
-            is RunAgentInput.HeartbeatReceived -> ledger.onHeartbeat(input.status)
+            is RunAgentInput.HeartbeatReceived -> {
+                ledger.onHeartbeat(input.status)
+                raiseTokenAfterRestart()
+            }
             is RunAgentInput.UpstreamDeregistered -> onUpstreamDeregistered(input.name)
             is RunAgentInput.StartAnswered -> onStartAnswered(input, now)
             is RunAgentInput.StopAnswered -> onStopAnswered(input)
@@ -185,7 +189,11 @@
     ) {
         var delayMillis = 0L
         when (val result = input.result) {
-            is RenewalResult.Answered -> perform(ledger.onRenewalAnswered(input.number, result.answer, now))
+            is RenewalResult.Answered -> {
+                val effects = ledger.onRenewalAnswered(input.number, result.answer, now)
+                raiseTokenAfterRestart()
+                perform(effects)
+            }
             RenewalResult.Fenced -> onFenced(input.fencingToken)
             RenewalResult.Unanswered -> {
                 perform(ledger.onRenewalFailed(isConnectionRefused = false, now))
@@ -220,6 +228,13 @@
         logger.event(RunAgentEvent.FENCED, "refused" to token, "next" to fence.value)
     }
 
+    /** Makes the upstream refuse orders that were meant for its earlier incarnation and are still on their way. */
+    private fun raiseTokenAfterRestart() {
+        val startedAtMillis = ledger.upstreamStartedAtMillis
+        if (upstreamStartedAtMillis != null && startedAtMillis != upstreamStartedAtMillis) fence.onUpstreamRestarted()
+        upstreamStartedAtMillis = startedAtMillis
+    }
+
     private fun perform(effects: List<LedgerEffect>) {
         for (effect in effects) {
             when (effect) {
@@ -234,7 +249,8 @@
     private fun start(effect: LedgerEffect.Start) {
         val token = fence.value
         scope.launch {
-            val answer = orders.start(effect.run, effect.specification, effect.deadlineClockMillis, token)
+            val isDue = { ledger.isStartDue(effect.run, nowMillis()) }
+            val answer = orders.start(effect.run, effect.specification, effect.deadlineClockMillis, token, isDue)
             tell(RunAgentInput.StartAnswered(effect.run, answer, token))
         }
     }
--- a/egretlock-agent/src/test/kotlin/io/egretlock/agent/run/RunAgentTest.kt
+++ b/egretlock-agent/src/test/kotlin/io/egretlock/agent/run/RunAgentTest.kt
@@ -138,10 +138,44 @@
             }
         }
 
+    /** Guards against an order for an earlier incarnation of the upstream that a later one carries out. */
+    @Test
+    fun `given an upstream that restarts, when its next incarnation answers, then calls carry a higher token`() =
+        runBlocking {
+            withTimeout(DEADLINE_MILLIS) {
+                val tokens = Channel<Long>(Channel.UNLIMITED)
+                val upstream = RestartingUpstream(tokens)
+                val agent = RunAgent(upstream, scope, FencingToken(1), AGENT, DOMAIN) { 0 }
+                scope.launch { agent.run() }
+                repeat(2) { assertEquals(1, tokens.receive()) }
+                upstream.startedAtMillis++
+                while (tokens.receive() == 1L) Unit
+            }
+        }
+
     private suspend fun Link.nextRunEnd(): RunEnded {
         while (true) (incoming.receive() as? RunEnded)?.let { return it }
     }
 
+    /** An upstream that passes the token of each renewal to [tokens]. */
+    private class RestartingUpstream(
+        private val tokens: Channel<Long>,
+    ) : UpstreamOrders by IdleUpstream {
+        @Volatile
+        var startedAtMillis = STARTED_AT
+
+        override suspend fun renew(
+            deadlineClockMillis: Long?,
+            lastEnd: Long,
+            waitMillis: Long,
+            fencingToken: Long,
+        ): RenewalResult {
+            delay(1)
+            tokens.send(fencingToken)
+            return RenewalResult.Answered(RenewalAnswer(startedAtMillis, clockMillis = 0, emptyList(), emptyList()))
+        }
+    }
+
     /** An upstream on which nothing runs. */
     private object IdleUpstream : UpstreamOrders {
         override suspend fun start(
@@ -149,6 +183,7 @@
             specification: String,
             deadlineClockMillis: Long,
             fencingToken: Long,
+            isDue: () -> Boolean,
         ): StartAnswer = error("Nothing is ordered.")
 
         override suspend fun stop(
@@ -201,6 +236,7 @@
             specification: String,
             deadlineClockMillis: Long,
             fencingToken: Long,
+            isDue: () -> Boolean,
         ): StartAnswer {
             startCalled.complete(Unit)
             startEnded.await()
--- a/egretlock-core/src/main/kotlin/io/egretlock/core/run/EndCause.kt
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/run/EndCause.kt
@@ -11,6 +11,9 @@
     /** The upstream refused the start. */
     START_REFUSED,
 
+    /** The start was no longer due when there was a connection for it, and was not sent. */
+    START_NOT_SENT,
+
     /** The upstream has not answered for longer than leases last. */
     LEASE_EXPIRED,
 
--- a/egretlock-core/src/main/kotlin/io/egretlock/core/run/RunLedger.kt
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/run/RunLedger.kt
@@ -30,6 +30,10 @@
     var lastEnd = 0L
         private set
 
+    /** Start time of the upstream's current incarnation; null until it is known. */
+    val upstreamStartedAtMillis: Long?
+        get() = upstream.currentStartedAtMillis
+
     /** Time of the upstream's last answer to a renewal. */
     val answeredAtMillis: Long
         get() = upstream.answeredAtMillis
@@ -40,7 +44,7 @@
      * the lease of those runs then expires.
      */
     fun renewalDeadlineClockMillis(nowMillis: Long): Long? {
-        val mayRenew = isUpstreamCleared && runs.size > 0 && runs.all.none { isStopOverdue(it, nowMillis) }
+        val mayRenew = isUpstreamCleared && runs.size > 0 && runs.all.none { it.isStopOverdue(nowMillis) }
         return if (mayRenew) upstream.leaseDeadlineClockMillis else null
     }
 
@@ -53,12 +57,12 @@
         get() = if (runs.size == 0) IDLE_WAIT_MILLIS else BUSY_WAIT_MILLIS
 
     /**
-     * Returns the report for the entries; null if no upstream is known, if it refuses connections, or if runs of an
-     * earlier agent may still be active.
+     * Returns the report for the entries; null if no upstream is known, if it is unreachable, or if runs of an earlier
+     * agent may still be active.
      */
     fun report(): UpstreamReport? {
         val status = upstream.status ?: return null
-        if (!wasUpstreamCleared || upstream.isRefusingConnections) return null
+        if (!wasUpstreamCleared || upstream.isUnreachable) return null
         return UpstreamReport(
             upstream = "${status.incarnation.name}@${status.incarnation.startedAtMillis}",
             service = status.service,
@@ -126,6 +130,21 @@
         nowMillis: Long,
     ): List<LedgerEffect> = runs.orderedBy(entry).mapNotNull { requestStop(it, RunEnd.STOPPED, nowMillis) }
 
+    /**
+     * Whether the order to start [id] may be sent now: its run is wanted, and the upstream has neither restarted nor
+     * been silent beyond the order's deadline since the run was accepted.
+     */
+    fun isStartDue(
+        id: RunId,
+        nowMillis: Long,
+    ): Boolean {
+        val run = runs[id] ?: return false
+        return run.stopReason == null &&
+            run.confirmedAfterRenewal == null &&
+            run.upstreamStartedAtMillis == upstream.currentStartedAtMillis &&
+            nowMillis - upstream.answeredAtMillis <= LEASE_MILLIS
+    }
+
     /** Records the answer to an order to start a run. */
     fun onStartAnswered(
         id: RunId,
@@ -133,6 +152,7 @@
         nowMillis: Long,
     ): List<LedgerEffect> {
         val run = runs[id] ?: return emptyList()
+        run.startEndedAtMillis = nowMillis
         return when (answer) {
             StartAnswer.STARTED -> {
                 if (run.confirmedAfterRenewal == null) run.confirmedAfterRenewal = lastRenewal
@@ -147,6 +167,8 @@
             StartAnswer.UNHEALTHY -> finish(run, RunEnd.UNHEALTHY, EndCause.START_REFUSED, nowMillis)
             StartAnswer.TOO_LATE, StartAnswer.NO_ROOM, StartAnswer.FENCED, StartAnswer.REFUSED ->
                 finish(run, RunEnd.NOT_STARTED, EndCause.START_REFUSED, nowMillis)
+            StartAnswer.NOT_SENT ->
+                finish(run, run.stopReason ?: RunEnd.NOT_STARTED, EndCause.START_NOT_SENT, nowMillis)
         }
     }
 
@@ -179,15 +201,16 @@
 
     /**
      * Records that a renewal failed; [isConnectionRefused] if its connection was refused. That does not show that the
-     * upstream has ended: a broken path refuses connections too, while the runs go on until their leases expire.
+     * upstream has ended: a broken path refuses connections too, while the runs go on until their leases expire. A run
+     * whose start is pending is not over then either, since the start may reach the upstream's next incarnation.
      */
     fun onRenewalFailed(
         isConnectionRefused: Boolean,
         nowMillis: Long,
     ): List<LedgerEffect> {
-        if (isConnectionRefused) upstream.isRefusingConnections = true
-        val haveLeasesExpired = nowMillis - upstream.answeredAtMillis > LEASES_EXPIRED_AFTER_MILLIS
-        return if (haveLeasesExpired) endAll(RunEnd.LOST, nowMillis) else emptyList()
+        upstream.renewalFailed(isConnectionRefused)
+        val lost = runs.all.filter { it.hasLeaseExpired(upstream.answeredAtMillis, nowMillis) }
+        return lost.flatMap { finish(it, it.stopReason ?: RunEnd.LOST, EndCause.LEASE_EXPIRED, nowMillis) }
     }
 
     /** Repeats orders to stop that were not acknowledged. */
@@ -200,11 +223,6 @@
                 LedgerEffect.Stop(run.id)
             }
 
-    private fun isStopOverdue(
-        run: LedgerRun,
-        nowMillis: Long,
-    ): Boolean = run.stopReason != null && nowMillis - run.stopRequestedAtMillis > STOP_OVERDUE_MILLIS
-
     private fun acceptOrRefuse(
         entry: ProcessId,
         order: RunOrder,
@@ -221,7 +239,7 @@
             val cause = refusal ?: EndCause.NOT_ACCEPTING
             return stops + LedgerEffect.ReportEnd(entry, id, RunEnd.NOT_STARTED, 0.0, cause)
         }
-        runs.add(LedgerRun(id, entry, ordered, nowMillis))
+        runs.add(LedgerRun(id, entry, ordered, nowMillis, upstream.currentStartedAtMillis))
         return listOf(LedgerEffect.Start(id, order.specification, deadline))
     }
 
@@ -264,7 +282,7 @@
         wasUpstreamCleared = wasUpstreamCleared || isUpstreamCleared
         active.forEach { seen -> runs[seen.run]?.let { effects += recordProgress(it, seen.percent, nowMillis) } }
         val activeIds = active.mapTo(HashSet()) { it.run }
-        for (run in runs.all.filter { it.id !in activeIds }) {
+        for (run in runs.all.filter { it.id !in activeIds && !it.isStartPending }) {
             val isStopped = run.stoppedAfterRenewal?.let { it < renewal } ?: false
             val hasVanished = run.confirmedAfterRenewal?.let { it < renewal } ?: false
             if (isStopped || hasVanished) {
@@ -301,11 +319,6 @@
         return listOf(LedgerEffect.ReportEnd(run.entry, run.id, end, runMillis, cause))
     }
 
-    private fun endAll(
-        end: RunEnd,
-        nowMillis: Long,
-    ): List<LedgerEffect> = runs.all.flatMap { finish(it, end, EndCause.LEASE_EXPIRED, nowMillis) }
-
     private fun resetAfterRestart(startedAtMillis: Long) {
         upstream.restarted(startedAtMillis)
         lastEnd = 0
--- a/egretlock-core/src/main/kotlin/io/egretlock/core/run/UpstreamAnswers.kt
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/run/UpstreamAnswers.kt
@@ -45,6 +45,9 @@
 
     /** No answer arrived: the run may have started or may still start. */
     UNANSWERED,
+
+    /** The order was not sent, since it was no longer due when there was a connection for it. */
+    NOT_SENT,
 }
 
 /**
--- a/egretlock-core/src/main/kotlin/io/egretlock/core/run/UpstreamOrders.kt
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/run/UpstreamOrders.kt
@@ -4,12 +4,17 @@
  * Orders of an agent to its upstream. Each is idempotent, and a missing answer is a result rather than an exception.
  */
 interface UpstreamOrders {
-    /** Orders a run to start; the upstream refuses if the order arrives after [deadlineClockMillis] of its clock. */
+    /**
+     * Orders a run to start; the upstream refuses if the order arrives after [deadlineClockMillis] of its clock. That
+     * does not protect against a late arrival in the upstream's next incarnation, whose clock starts anew. So the order
+     * may wait for a connection, but is sent only if [isDue] still holds.
+     */
     suspend fun start(
         run: RunId,
         specification: String,
         deadlineClockMillis: Long,
         fencingToken: Long,
+        isDue: () -> Boolean,
     ): StartAnswer
 
     /** Orders a run to stop, or never to start, and returns whether the order was acknowledged. */
--- a/egretlock-core/src/main/kotlin/io/egretlock/core/run/UpstreamView.kt
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/run/UpstreamView.kt
@@ -4,14 +4,23 @@
 
 /** State that an agent knows of its upstream: the last heartbeat, the current incarnation and the clock. */
 internal class UpstreamView {
-    private var currentStartedAtMillis: Long? = null
     private var clockMillis: Long? = null
+    private var isRefusingConnections = false
+    private var failedRenewals = 0
+
+    /** Start time of the current incarnation; null until an answer or a restart has shown it. */
+    var currentStartedAtMillis: Long? = null
+        private set
 
     /** Last heartbeat; null if none was received or if the upstream has announced its end. */
     var status: UpstreamStatus? = null
 
-    /** Whether the upstream has refused a connection since its last answer. */
-    var isRefusingConnections = false
+    /**
+     * Whether the upstream can't be expected to answer an order: it has refused a connection since its last answer, or
+     * left a renewal and its repetition unanswered.
+     */
+    val isUnreachable: Boolean
+        get() = isRefusingConnections || failedRenewals >= UNREACHABLE_AFTER_RENEWALS
 
     /** Time of the upstream's last answer, by the agent's clock. */
     var answeredAtMillis = 0L
@@ -54,6 +63,13 @@
         clockMillis = max(answer.clockMillis, clockMillis ?: 0)
         answeredAtMillis = nowMillis
         isRefusingConnections = false
+        failedRenewals = 0
+    }
+
+    /** Records that a renewal got no answer; [isConnectionRefused] if its connection was refused. */
+    fun renewalFailed(isConnectionRefused: Boolean) {
+        failedRenewals++
+        if (isConnectionRefused) isRefusingConnections = true
     }
 
     /** Records that a new incarnation has started, whose clock is not known yet. */
@@ -68,4 +84,8 @@
     ): Boolean =
         newer.incarnation.startedAtMillis < known.incarnation.startedAtMillis ||
             (newer.incarnation == known.incarnation && newer.sequence <= known.sequence)
+
+    private companion object {
+        const val UNREACHABLE_AFTER_RENEWALS = 2
+    }
 }
--- a/egretlock-core/src/test/kotlin/io/egretlock/core/run/FencingTokenTest.kt
+++ b/egretlock-core/src/test/kotlin/io/egretlock/core/run/FencingTokenTest.kt
@@ -22,4 +22,11 @@
         token.onRefused(1_000)
         assertEquals(second, token.value)
     }
+
+    @Test
+    fun `a restart of the upstream raises the token`() {
+        val token = FencingToken(1_000)
+        token.onUpstreamRestarted()
+        assertTrue(token.value > 1_000)
+    }
 }
--- a/egretlock-core/src/test/kotlin/io/egretlock/core/run/RunLedgerTest.kt
+++ b/egretlock-core/src/test/kotlin/io/egretlock/core/run/RunLedgerTest.kt
@@ -4,6 +4,7 @@
 import io.egretlock.core.job.ProcessId
 import io.egretlock.core.run.RunFixtures.run
 import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertFalse
 import org.junit.jupiter.api.Assertions.assertNull
 import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
@@ -278,7 +279,7 @@
     fun `a refused connection does not end a run whose lease lasts`() {
         ready()
         order()
-        ledger.onStartAnswered(run("a"), StartAnswer.STARTED, 1)
+        ledger.onStartAnswered(run("a"), StartAnswer.STARTED, 0)
         assertTrue(ledger.onRenewalFailed(isConnectionRefused = true, RunLedger.LEASES_EXPIRED_AFTER_MILLIS).isEmpty())
         assertEquals(
             RunEnd.LOST,
@@ -322,6 +323,7 @@
     fun `leases have expired when the upstream does not answer for longer than they last`() {
         ready()
         order()
+        ledger.onStartAnswered(run("a"), StartAnswer.STARTED, 0)
         assertTrue(ledger.onRenewalFailed(isConnectionRefused = false, RunLedger.LEASES_EXPIRED_AFTER_MILLIS).isEmpty())
         assertEquals(
             RunEnd.LOST,
@@ -345,6 +347,48 @@
         ledger.onRenewalFailed(isConnectionRefused = false, 2 * silentMillis).reportedEnd()
     }
 
+    /** Guards against a start that waits for a connection and is sent to the upstream's next incarnation. */
+    @Test
+    fun `a start is due only for a wanted run, in the incarnation that it was accepted for, before its deadline`() {
+        ready()
+        order("a")
+        order("b")
+        assertTrue(ledger.isStartDue(run("a"), RunLedger.LEASE_MILLIS))
+        assertFalse(ledger.isStartDue(run("a"), RunLedger.LEASE_MILLIS + 1))
+        ledger.onStopRequested(run("a"), 10)
+        assertFalse(ledger.isStartDue(run("a"), 10))
+        assertEquals(RunEnd.STOPPED, ledger.onStartAnswered(run("a"), StartAnswer.NOT_SENT, 10).reportedEnd())
+        assertFalse(ledger.isStartDue(run("a"), 10))
+
+        assertTrue(ledger.isStartDue(run("b"), 10))
+        ledger.onHeartbeat(status(startedAt = 9))
+        assertFalse(ledger.isStartDue(run("b"), 10))
+        assertEquals(RunEnd.NOT_STARTED, ledger.onStartAnswered(run("b"), StartAnswer.NOT_SENT, 10).reportedEnd())
+    }
+
+    /** Guards against a lease that a start took in the upstream's next incarnation, after its last answer to a renewal. */
+    @Test
+    fun `a lease lasts from the end of the start if no renewal was answered since`() {
+        ready()
+        order()
+        ledger.onStartAnswered(run("a"), StartAnswer.STARTED, 900)
+        val expiredMillis = 900 + RunLedger.LEASES_EXPIRED_AFTER_MILLIS + 1
+        assertTrue(ledger.onRenewalFailed(isConnectionRefused = false, expiredMillis - 1).isEmpty())
+        assertEquals(RunEnd.LOST, ledger.onRenewalFailed(isConnectionRefused = false, expiredMillis).reportedEnd())
+    }
+
+    @Test
+    fun `an upstream that leaves a renewal and its repetition unanswered gets no runs until its next answer`() {
+        ready()
+        ledger.onRenewalFailed(isConnectionRefused = false, 350)
+        assertEquals(true, ledger.report()?.accepting)
+        ledger.onRenewalFailed(isConnectionRefused = false, 700)
+        assertNull(ledger.report())
+        assertEquals(RunEnd.NOT_STARTED, order(nowMillis = 700).reportedEnd())
+        answerRenewal(nowMillis = 710)
+        assertEquals(true, ledger.report()?.accepting)
+    }
+
     @Test
     fun `connections are closed when the upstream's clock shows that the agent was paused`() {
         ready()
