Ignore a heartbeat of an earlier incarnation than the upstream's last answer

An answer can show a restart before the first heartbeat of the new incarnation arrives.

The ledger now ignores heartbeats from an earlier incarnation than the one that has answered.

--- a/egretlock-core/src/main/kotlin/io/egretlock/core/run/UpstreamView.kt
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/run/UpstreamView.kt
@@ -5,6 +5,7 @@
 /** State that an agent knows of its upstream: the last heartbeat, the current incarnation and the clock. */
 internal class UpstreamView {
     private var clockMillis: Long? = null
+    private var answeredStartedAtMillis: Long? = null
     private var isRefusingConnections = false
     private var failedRenewals = 0
 
@@ -33,12 +34,18 @@
     val leaseDeadlineClockMillis: Long?
         get() = clockMillis?.let { it + RunLedger.LEASE_MILLIS }
 
-    /** Records a heartbeat, unless it is older than the last one; returns whether it shows a restart. */
+    /**
+     * Records a heartbeat, unless it is older than the last one or from an earlier incarnation than the last answer;
+     * returns whether it shows a restart.
+     */
     fun onHeartbeat(newStatus: UpstreamStatus): Boolean {
         val known = status
+        val answered = answeredStartedAtMillis
+        val startedAtMillis = newStatus.incarnation.startedAtMillis
+        if (answered != null && startedAtMillis < answered) return false
         if (known != null && isOlder(newStatus, known)) return false
         status = newStatus
-        return currentStartedAtMillis != null && currentStartedAtMillis != newStatus.incarnation.startedAtMillis
+        return currentStartedAtMillis != null && currentStartedAtMillis != startedAtMillis
     }
 
     /** Whether [answer] comes from another incarnation than the earlier answers. */
@@ -60,6 +67,7 @@
         nowMillis: Long,
     ) {
         currentStartedAtMillis = answer.startedAtMillis
+        answeredStartedAtMillis = answer.startedAtMillis
         clockMillis = max(answer.clockMillis, clockMillis ?: 0)
         answeredAtMillis = nowMillis
         isRefusingConnections = false
--- a/egretlock-core/src/test/kotlin/io/egretlock/core/run/RunLedgerTest.kt
+++ b/egretlock-core/src/test/kotlin/io/egretlock/core/run/RunLedgerTest.kt
@@ -252,6 +252,15 @@
         assertEquals(true, ledger.report()?.accepting)
     }
 
+    /** Guards against starts that are held back, and tokens that rise, by a heartbeat that was held up on its way. */
+    @Test
+    fun `a late heartbeat of an earlier incarnation does not undo a restart that an answer has shown`() {
+        ready()
+        answerRenewal(startedAt = 9)
+        ledger.onHeartbeat(status(startedAt = 5, sequence = 2))
+        assertEquals(9, ledger.upstreamStartedAtMillis)
+    }
+
     @Test
     fun `a draining upstream accepts no runs`() {
         ready()
