--- a/egretlock-agent/src/main/kotlin/io/egretlock/agent/run/RunAgent.kt
+++ b/egretlock-agent/src/main/kotlin/io/egretlock/agent/run/RunAgent.kt
@@ -8,6 +8,7 @@
 import io.egretlock.core.run.LedgerEffect
 import io.egretlock.core.run.RenewalResult
 import io.egretlock.core.run.ReportPacing
+import io.egretlock.core.run.RunId
 import io.egretlock.core.run.RunLedger
 import io.egretlock.core.run.StartAnswer
 import io.egretlock.core.run.StopAnswer
@@ -50,6 +51,9 @@
     private var isTickScheduled = false
     private var upstreamStartedAtMillis: Long? = null
 
+    /** Runs with a call to stop that has not ended; a further call would wait for a connection behind it. */
+    private val unansweredStops = HashSet<RunId>()
+
     /** Number of runs that have not ended. */
     val runCount: Int
         get() = ledger.runs.size
@@ -196,11 +200,11 @@
             }
             RenewalResult.Fenced -> onFenced(input.fencingToken)
             RenewalResult.Unanswered -> {
-                perform(ledger.onRenewalFailed(isConnectionRefused = false, now))
+                onRenewalFailed(isConnectionRefused = false, now)
                 delayMillis = RETRY_MILLIS
             }
             RenewalResult.ConnectionRefused -> {
-                perform(ledger.onRenewalFailed(isConnectionRefused = true, now))
+                onRenewalFailed(isConnectionRefused = true, now)
                 delayMillis = REFUSED_RETRY_MILLIS
             }
         }
@@ -231,10 +235,22 @@
     /** Makes the upstream refuse orders that were meant for its earlier incarnation and are still on their way. */
     private fun raiseTokenAfterRestart() {
         val startedAtMillis = ledger.upstreamStartedAtMillis
-        if (upstreamStartedAtMillis != null && startedAtMillis != upstreamStartedAtMillis) fence.onUpstreamRestarted()
+        if (upstreamStartedAtMillis != null && startedAtMillis != upstreamStartedAtMillis) fence.onPossibleRestart()
         upstreamStartedAtMillis = startedAtMillis
     }
 
+    /**
+     * Raises the token when the upstream stops answering, so that an incarnation that starts meanwhile gets the higher
+     * token with the first call that it answers.
+     */
+    private fun onRenewalFailed(
+        isConnectionRefused: Boolean,
+        now: Long,
+    ) {
+        if (ledger.isUpstreamAnswering) fence.onPossibleRestart()
+        perform(ledger.onRenewalFailed(isConnectionRefused, now))
+    }
+
     private fun perform(effects: List<LedgerEffect>) {
         for (effect in effects) {
             when (effect) {
@@ -256,10 +272,12 @@
     }
 
     private fun stop(effect: LedgerEffect.Stop) {
+        if (!unansweredStops.add(effect.run)) return
         val token = fence.value
         if (effect.run !in ledger.runs) logger.event(RunAgentEvent.UNKNOWN_RUN, "run" to effect.run, "token" to token)
         scope.launch {
             val answer = orders.stop(effect.run, token)
+            unansweredStops -= effect.run
             tell(RunAgentInput.StopAnswered(effect.run, answer, token))
         }
     }
@@ -324,7 +342,10 @@
         /** Delay before the next renewal after one without an answer. */
         const val RETRY_MILLIS = 10L
 
-        /** Delay before the next renewal while connections to the upstream are refused. */
-        const val REFUSED_RETRY_MILLIS = 100L
+        /**
+         * Delay before the next renewal while connections to the upstream are refused. A late order may reach its next
+         * incarnation for as long before the higher token does.
+         */
+        const val REFUSED_RETRY_MILLIS = 20L
     }
 }
--- a/egretlock-agent/src/test/kotlin/io/egretlock/agent/run/RunAgentTest.kt
+++ b/egretlock-agent/src/test/kotlin/io/egretlock/agent/run/RunAgentTest.kt
@@ -31,11 +31,14 @@
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
+import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.cancel
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.sync.Mutex
+import kotlinx.coroutines.sync.withLock
 import kotlinx.coroutines.withTimeout
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Assertions.assertEquals
@@ -140,16 +143,59 @@
 
     /** Guards against an order for an earlier incarnation of the upstream that a later one carries out. */
     @Test
-    fun `given an upstream that restarts, when its next incarnation answers, then calls carry a higher token`() =
+    fun `given an upstream that restarts, when an answer or a heartbeat shows it, then calls carry the next token`() =
         runBlocking {
             withTimeout(DEADLINE_MILLIS) {
-                val tokens = Channel<Long>(Channel.UNLIMITED)
-                val upstream = RestartingUpstream(tokens)
+                val upstream = RestartingUpstream()
                 val agent = RunAgent(upstream, scope, FencingToken(1), AGENT, DOMAIN) { 0 }
                 scope.launch { agent.run() }
-                repeat(2) { assertEquals(1, tokens.receive()) }
-                upstream.startedAtMillis++
-                while (tokens.receive() == 1L) Unit
+                assertEquals(1, upstream.settledToken())
+                upstream.startedAtMillis = STARTED_AT + 1
+                assertEquals(2, upstream.settledToken())
+                upstream.hold()
+                agent.tell(RunAgentInput.HeartbeatReceived(statusOf(STARTED_AT + 2)))
+                upstream.startedAtMillis = STARTED_AT + 2
+                upstream.release()
+                assertEquals(3, upstream.settledToken())
+            }
+        }
+
+    /** Guards against a late order that reaches the upstream's next incarnation before the higher token does. */
+    @Test
+    fun `given an upstream that stops answering, then the next call carries the next token, and later ones the same`() =
+        runBlocking {
+            withTimeout(DEADLINE_MILLIS) {
+                val upstream = RestartingUpstream()
+                val agent = RunAgent(upstream, scope, FencingToken(1), AGENT, DOMAIN) { 0 }
+                scope.launch { agent.run() }
+                assertEquals(1, upstream.settledToken())
+                upstream.isSilent = true
+                assertEquals(2, upstream.settledToken())
+                assertEquals(2, upstream.settledToken())
+            }
+        }
+
+    /** Guards against a start that is sent to a restarted upstream because nothing asks whether it is still due. */
+    @Test
+    fun `given a start that waits for a connection, when the upstream restarts, then the start is no longer due`() =
+        runBlocking {
+            withTimeout(DEADLINE_MILLIS) {
+                val upstream = RestartingUpstream()
+                val agent = RunAgent(upstream, scope, FencingToken(1), AGENT, DOMAIN) { 0 }
+                val listener =
+                    LinkListener.bind(NodeAddress("127.0.0.1", 0), loop, scope, LENIENT_TIMING, accepted::send)
+                val agentEnd = Link.dial(NodeAddress("127.0.0.1", listener.port), loop, scope, LENIENT_TIMING)
+                agent.tell(RunAgentInput.EntryConnected(known("entry"), agentEnd))
+                val entryEnd = accepted.receive()
+                agent.tell(RunAgentInput.HeartbeatReceived(STATUS))
+                scope.launch { agent.run() }
+                entryEnd.isPreferred()
+                agent.tell(RunAgentInput.EntryMessage(agentEnd, StartRuns(ORDER)))
+                val isDue = upstream.waitingStart.await()
+                assertEquals(true, isDue())
+                upstream.startedAtMillis = STARTED_AT + 1
+                upstream.settledToken()
+                assertEquals(false, isDue())
             }
         }
 
@@ -157,13 +203,42 @@
         while (true) (incoming.receive() as? RunEnded)?.let { return it }
     }
 
-    /** An upstream that passes the token of each renewal to [tokens]. */
-    private class RestartingUpstream(
-        private val tokens: Channel<Long>,
-    ) : UpstreamOrders by IdleUpstream {
+    /** An upstream whose incarnation and silence a test sets. A start waits for ever. */
+    private class RestartingUpstream : UpstreamOrders by IdleUpstream {
+        private val tokens = Channel<Long>(Channel.UNLIMITED)
+        private val gate = Mutex()
+
+        /** Tells whether the start that waits is due. */
+        val waitingStart = CompletableDeferred<() -> Boolean>()
+
         @Volatile
         var startedAtMillis = STARTED_AT
 
+        @Volatile
+        var isSilent = false
+
+        /** Returns the token of a renewal that begins after the agent has handled the result of an earlier one. */
+        suspend fun settledToken(): Long {
+            while (tokens.tryReceive().isSuccess) Unit
+            repeat(RENEWALS_IN_FLIGHT) { tokens.receive() }
+            return tokens.receive()
+        }
+
+        suspend fun hold() = gate.lock()
+
+        fun release() = gate.unlock()
+
+        override suspend fun start(
+            run: RunId,
+            specification: String,
+            deadlineClockMillis: Long,
+            fencingToken: Long,
+            isDue: () -> Boolean,
+        ): StartAnswer {
+            waitingStart.complete(isDue)
+            awaitCancellation()
+        }
+
         override suspend fun renew(
             deadlineClockMillis: Long?,
             lastEnd: Long,
@@ -172,8 +247,15 @@
         ): RenewalResult {
             delay(1)
             tokens.send(fencingToken)
+            gate.withLock { }
+            if (isSilent) return RenewalResult.Unanswered
             return RenewalResult.Answered(RenewalAnswer(startedAtMillis, clockMillis = 0, emptyList(), emptyList()))
         }
+
+        private companion object {
+            /** A renewal that was begun before a change, and one whose answer shows it. */
+            const val RENEWALS_IN_FLIGHT = 2
+        }
     }
 
     /** An upstream on which nothing runs. */
@@ -284,6 +366,9 @@
                 sequence = 1,
             )
 
+        fun statusOf(startedAtMillis: Long) =
+            STATUS.copy(incarnation = UpstreamIncarnation("upstream", startedAtMillis))
+
         val ORDER = RunOrder(1, JobId("job"), "text", listOf(OrderedRun(0, 0, 1, Room(1_000, 64), 100.0)))
 
         val SECOND_ORDER = ORDER.copy(sequence = 2, runs = ORDER.runs.map { it.copy(number = 2) })
--- a/egretlock-core/src/main/kotlin/io/egretlock/core/run/FencingToken.kt
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/run/FencingToken.kt
@@ -3,7 +3,8 @@
 /**
  * Fencing token of an agent's orders, by which the upstream refuses orders of an earlier process of the agent.
  *
- * It also rises when the upstream has restarted, so that the new incarnation refuses orders meant for an earlier one.
+ * It also rises when the upstream may have restarted, so that the new incarnation refuses orders meant for an earlier
+ * one.
  * Its first value is the wall clock at the start of the process, so that neither a store nor a disk is needed. If the
  * wall clock was set back since the earlier process started, the upstream refuses the token; each refusal raises the
  * token by ten times as much as the one before.
@@ -24,8 +25,8 @@
         stepMillis *= STEP_FACTOR
     }
 
-    /** Raises the value after the upstream was found to have restarted. */
-    fun onUpstreamRestarted() {
+    /** Raises the value after the upstream has restarted or may have, so that it refuses orders that were sent before. */
+    fun onPossibleRestart() {
         value++
     }
 
--- a/egretlock-core/src/main/kotlin/io/egretlock/core/run/RunLedger.kt
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/run/RunLedger.kt
@@ -34,6 +34,10 @@
     val upstreamStartedAtMillis: Long?
         get() = upstream.currentStartedAtMillis
 
+    /** Whether the last renewal was answered. */
+    val isUpstreamAnswering: Boolean
+        get() = upstream.isAnswering
+
     /** Time of the upstream's last answer to a renewal. */
     val answeredAtMillis: Long
         get() = upstream.answeredAtMillis
@@ -41,20 +45,27 @@
     /**
      * Returns the deadline that the next renewal carries; null if it must not renew the lease. A renewal extends the
      * lease of all active runs, so there is none while runs of an earlier agent may be active or a stop has no effect;
-     * the lease of those runs then expires.
+     * the lease of those runs then expires. There is none either after a renewal without an answer, since the deadline
+     * would lie in the future of an incarnation that has started meanwhile.
      */
     fun renewalDeadlineClockMillis(nowMillis: Long): Long? {
-        val mayRenew = isUpstreamCleared && runs.size > 0 && runs.all.none { it.isStopOverdue(nowMillis) }
+        val mayRenew =
+            isUpstreamCleared && upstream.isAnswering && runs.size > 0 && runs.all.none { it.isStopOverdue(nowMillis) }
         return if (mayRenew) upstream.leaseDeadlineClockMillis else null
     }
 
     /**
      * Longest time for which the upstream holds the next renewal until a run ends. Ends are reported only by the
      * answers to renewals, so a lost answer hides them until the renewal times out; the wait is therefore short while
-     * runs are active.
+     * runs are active. After a renewal without an answer there is no wait.
      */
     val renewalWaitMillis: Long
-        get() = if (runs.size == 0) IDLE_WAIT_MILLIS else BUSY_WAIT_MILLIS
+        get() =
+            when {
+                !upstream.isAnswering -> 0
+                runs.size == 0 -> IDLE_WAIT_MILLIS
+                else -> BUSY_WAIT_MILLIS
+            }
 
     /**
      * Returns the report for the entries; null if no upstream is known, if it is unreachable, or if runs of an earlier
@@ -322,6 +333,7 @@
     private fun resetAfterRestart(startedAtMillis: Long) {
         upstream.restarted(startedAtMillis)
         lastEnd = 0
+        runs.all.forEach { it.stoppedAfterRenewal = null }
     }
 
     companion object {
--- a/egretlock-core/src/main/kotlin/io/egretlock/core/run/UpstreamView.kt
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/run/UpstreamView.kt
@@ -13,6 +13,10 @@
     var currentStartedAtMillis: Long? = null
         private set
 
+    /** Whether the last renewal was answered. */
+    val isAnswering: Boolean
+        get() = failedRenewals == 0
+
     /** Last heartbeat; null if none was received or if the upstream has announced its end. */
     var status: UpstreamStatus? = null
 
--- a/egretlock-core/src/test/kotlin/io/egretlock/core/run/FencingTokenTest.kt
+++ b/egretlock-core/src/test/kotlin/io/egretlock/core/run/FencingTokenTest.kt
@@ -24,9 +24,9 @@
     }
 
     @Test
-    fun `a restart of the upstream raises the token`() {
+    fun `a possible restart of the upstream raises the token`() {
         val token = FencingToken(1_000)
-        token.onUpstreamRestarted()
+        token.onPossibleRestart()
         assertTrue(token.value > 1_000)
     }
 }
--- a/egretlock-core/src/test/kotlin/io/egretlock/core/run/RunLedgerTest.kt
+++ b/egretlock-core/src/test/kotlin/io/egretlock/core/run/RunLedgerTest.kt
@@ -261,6 +261,31 @@
         assertEquals(9, ledger.upstreamStartedAtMillis)
     }
 
+    /** Guards against a late start in an incarnation that has no record of the stop. */
+    @Test
+    fun `a stop that an earlier incarnation acknowledged ends no run`() {
+        ready()
+        order()
+        ledger.onStartAnswered(run("a"), StartAnswer.UNANSWERED, 80)
+        ledger.onStopAnswered(run("a"), acknowledged = true)
+        assertTrue(answerRenewal(startedAt = 9, clockMillis = 3, nowMillis = 100).isEmpty())
+        assertEquals(listOf(LedgerEffect.Stop(run("a"))), ledger.tick(80 + RunLedger.STOP_RETRY_MILLIS))
+        ledger.onStopAnswered(run("a"), acknowledged = true)
+        assertEquals(RunEnd.UNHEALTHY, answerRenewal(startedAt = 9, clockMillis = 9, nowMillis = 200).reportedEnd())
+    }
+
+    /** Guards against a deadline of an earlier incarnation, which lies in the future of the next one. */
+    @Test
+    fun `after a renewal without an answer no lease is renewed and none waits`() {
+        ready()
+        order()
+        ledger.onRenewalFailed(isConnectionRefused = false, 200)
+        assertNull(ledger.renewalDeadlineClockMillis(200))
+        assertEquals(0, ledger.renewalWaitMillis)
+        answerRenewal(active = listOf(ActiveRun(run("a"), 1)), nowMillis = 210)
+        assertEquals(clock + RunLedger.LEASE_MILLIS, ledger.renewalDeadlineClockMillis(210))
+    }
+
     @Test
     fun `a draining upstream accepts no runs`() {
         ready()
