Show that two entries that hold one job run its tasks twice

An agent refuses a second run only if it has the first one itself; nothing keeps two entries apart on different upstreams.

--- a/egretlock-testing/src/test/kotlin/io/egretlock/testing/platform/PlatformPathTest.kt
+++ b/egretlock-testing/src/test/kotlin/io/egretlock/testing/platform/PlatformPathTest.kt
@@ -2,6 +2,7 @@
 
 import io.egretlock.testing.system.ProcessSignal
 import kotlinx.coroutines.async
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.runBlocking
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Assertions.assertEquals
@@ -131,7 +132,25 @@
         }
     }
 
+    /** Guards against two runs of a task when a second entry gets a job that the first one still works on. */
+    @Test
+    fun `given a job at work, when another entry gets it too, then no task runs twice at a time`() {
+        platform = PlatformStandIn(taskMillis = 3_000, entryCount = 2, agentCount = 3)
+        runBlocking {
+            platform.start()
+            val first = async { platform.submit(id(1), tasks = 4, entry = platform.entries.first()) }
+            platform.awaitUntil { platform.runMonitor.started.isNotEmpty() }
+            delay(RESEND_MILLIS)
+            val second = async { platform.submit(id(1), tasks = 4, entry = platform.entries.last()) }
+            first.await()
+            second.await()
+            assertEquals(emptyList<String>(), platform.runMonitor.overlaps)
+        }
+    }
+
     private companion object {
+        /** Time after which callers submit a job again that got no answer. */
+        const val RESEND_MILLIS = 1_300L
         const val HTTP_OK = 200
         const val HTTP_BAD_REQUEST = 400
         const val HTTP_NOT_FOUND = 404
