Check upstreams that restart in a model of their own

Change: model/UpstreamRestart.tla, one task, one home, two upstreams with an agent each, two runs. An upstream ends and starts again with a new clock, without its stops and tokens; an agent whose upstream is silent reports runs as lost after the lease time. It keeps ages and no times, so neither time nor the number of ends and silences is bounded. Without PendingStartNotOver they don't suffice. - without the assumption that a start without an answer does not overtake the first call with the raised token: a counterexample.

--- a/egretlock-core/src/test/kotlin/io/egretlock/core/model/ModelChecker.kt
+++ b/egretlock-core/src/test/kotlin/io/egretlock/core/model/ModelChecker.kt
@@ -92,4 +92,5 @@
     REFUSAL("Claim", "Refusal"),
     TASK_GATE("TaskGate", "TaskGate"),
     RUN_LEASE("RunLease", "RunLease"),
+    UPSTREAM_RESTART("UpstreamRestart", "UpstreamRestart"),
 }
--- a/egretlock-core/src/test/kotlin/io/egretlock/core/model/ModelTest.kt
+++ b/egretlock-core/src/test/kotlin/io/egretlock/core/model/ModelTest.kt
@@ -1,6 +1,7 @@
 package io.egretlock.core.model
 
 import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.CsvSource
 import org.junit.jupiter.params.provider.EnumSource
@@ -38,6 +39,8 @@
         "RUN_LEASE, RaiseToken, FALSE, OneRunAtATime",
         "RUN_LEASE, DeadlineFromAnswer, FALSE, OneRunAtATime",
         "RUN_LEASE, ConfirmStop, FALSE, OneRunAtATime",
+        "UPSTREAM_RESTART, PendingStartNotOver, FALSE, OneRunAtATime",
+        "UPSTREAM_RESTART, RaiseTokenOnRestart, FALSE, OneRunAtATime",
     )
     fun `given a disabled safeguard, when checked, then the invariant is violated`(
         model: Model,
@@ -48,4 +51,19 @@
         val output = checker.check(model, overrides = mapOf(safeguard to value), invariants = invariant)
         assertTrue("Invariant $invariant is violated" in output, output)
     }
+
+    /** Shows that the two checks before a start is sent are not what keeps runs apart in the model. */
+    @Test
+    fun `given starts that are sent unchecked, when checked, then no two runs overlap`() {
+        val unchecked = mapOf("StartInOwnIncarnation" to "FALSE", "StartOnlyIfRecorded" to "FALSE")
+        val output = checker.check(Model.UPSTREAM_RESTART, overrides = unchecked)
+        assertTrue("No error has been found" in output, output)
+    }
+
+    /** Shows that the safeguards don't suffice alone: this is a limit of the design, see docs/PLATFORM-DESIGN.md. */
+    @Test
+    fun `given late starts that arrive before the raised token, when checked, then two runs overlap`() {
+        val output = checker.check(Model.UPSTREAM_RESTART, overrides = mapOf("FenceBeforeLateStarts" to "FALSE"))
+        assertTrue("Invariant OneRunAtATime is violated" in output, output)
+    }
 }
