Play restarts of upstreams in the soak, silent and refusing

Ruled out: overlaps that the stand-ins make up.

Change: - Two new faults, chosen by the seed: an upstream ends with all its runs, and starts again after 0.3 to 4.5 s under its id with a later born, its clock, ends and token anew. Until then its address is silent on open and new connections, or refuses. At most half of the upstreams are down at a time. A stop ends only the run that it names.

--- a/egretlock-testing/src/main/kotlin/io/egretlock/testing/platform/PlatformAgent.kt
+++ b/egretlock-testing/src/main/kotlin/io/egretlock/testing/platform/PlatformAgent.kt
@@ -5,7 +5,6 @@
 /** An instance that runs an agent and its [upstream]; the upstream sends its heartbeats to [heartbeatAddress]. */
 class PlatformAgent internal constructor(
     val node: PlatformNode,
-    val upstream: PlatformUpstreamStandIn,
-    val upstreamAddress: NodeAddress,
+    val upstream: PlatformUpstream,
     val heartbeatAddress: NodeAddress,
 )
--- a/egretlock-testing/src/main/kotlin/io/egretlock/testing/platform/PlatformStandIn.kt
+++ b/egretlock-testing/src/main/kotlin/io/egretlock/testing/platform/PlatformStandIn.kt
@@ -19,12 +19,15 @@
 import kotlinx.coroutines.withContext
 import kotlinx.coroutines.withTimeoutOrNull
 import java.util.concurrent.Executors
+import kotlin.random.Random
 
 /**
  * Stands in for the users' platform on loopback: a store, entries, and agents with their upstreams. Entries and agents
  * run as separate processes, started with the settings file that the platform would write.
  *
  * Each entry has its own loopback address, since all instances use the same internal port.
+ *
+ * @param seed seed of the times that the upstreams take for stops.
  */
 class PlatformStandIn(
     taskMillis: Long = 50,
@@ -32,6 +35,7 @@
     agentCount: Int = 1,
     cores: Int = 16,
     private val targetMillis: Long = 60_000,
+    seed: Long = 1,
 ) : AutoCloseable {
     private val executor = Executors.newSingleThreadExecutor()
     private val dispatcher = executor.asCoroutineDispatcher()
@@ -40,12 +44,14 @@
     private val launcher = ProcessLauncher()
     private val storeAddress = freeAddress()
     private val internalPort = FreePorts.next()
+    private val random = Random(seed)
 
     /** Records the runs of all upstreams. */
     val runMonitor = RunMonitor()
     val store = PlatformStoreStandIn()
     val entries = List(entryCount) { entry(it) }
-    val agents = List(agentCount) { agent(it, PlatformUpstreamStandIn(taskMillis, cores, runMonitor)) }
+    val agents =
+        List(agentCount) { agent(it) { PlatformUpstreamStandIn(taskMillis, cores, runMonitor, random) } }
 
     /** All instances. */
     val nodes: List<PlatformNode>
@@ -55,9 +61,7 @@
     suspend fun start() {
         configure(version = 1)
         HttpServer.bind(storeAddress.host, storeAddress.port, loop, scope, store::answer)
-        for (agent in agents) {
-            HttpServer.bind(agent.upstreamAddress.host, agent.upstreamAddress.port, loop, scope, agent.upstream::answer)
-        }
+        agents.forEach { it.upstream.start() }
         nodes.forEach { it.start() }
         agents.indices.forEach { scope.launch { sendHeartbeats(it) } }
         entries.forEach { entry -> awaitUntil { readiness(entry) == HTTP_OK } }
@@ -127,12 +131,13 @@
 
     private fun agent(
         index: Int,
-        upstream: PlatformUpstreamStandIn,
+        incarnation: () -> PlatformUpstreamStandIn,
     ): PlatformAgent {
         val address = freeAddress()
         val heartbeats = freeAddress()
         val lines = listOf("bind_addrs.control=$heartbeats", "app=$address", "ip=127.0.0.1")
-        return PlatformAgent(node("agent-$index", "egretlock-agent", lines), upstream, address, heartbeats)
+        val upstream = PlatformUpstream(address, loop, scope, incarnation)
+        return PlatformAgent(node("agent-$index", "egretlock-agent", lines), upstream, heartbeats)
     }
 
     private fun node(
@@ -155,9 +160,8 @@
 
     private suspend fun sendHeartbeats(index: Int) {
         val agent = agents[index]
-        var sequence = 0L
         while (true) {
-            heartbeat("u-$index", agent.upstream.heartbeat("s", "${agent.upstreamAddress}", ++sequence), agent)
+            agent.upstream.nextHeartbeat("s")?.let { heartbeat("u-$index", it, agent) }
             delay(INTERVAL_MILLIS)
         }
     }
--- a/egretlock-testing/src/main/kotlin/io/egretlock/testing/platform/PlatformUpstreamStandIn.kt
+++ b/egretlock-testing/src/main/kotlin/io/egretlock/testing/platform/PlatformUpstreamStandIn.kt
@@ -2,6 +2,7 @@
 
 import io.egretlock.platform.http.HttpRequest
 import io.egretlock.platform.http.HttpResponse
+import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.delay
 import kotlinx.serialization.json.Json
 import kotlinx.serialization.json.JsonObject
@@ -11,23 +12,29 @@
 import kotlinx.serialization.json.long
 import kotlinx.serialization.json.put
 import kotlinx.serialization.json.putJsonArray
+import kotlin.random.Random
 
 /**
- * Stands in for an upstream of the users' platform: starts, stops, leases, fencing tokens and lists of runs.
+ * Stands in for one incarnation of an upstream of the users' platform: starts, stops, leases, fencing tokens and lists
+ * of runs.
  *
- * Each task takes [taskMillis] and one of [cores]. Not thread-safe: one thread uses all stand-ins of one [monitor].
+ * Each task takes [taskMillis] and one of [cores]. A run goes on for up to [LONGEST_STOP_MILLIS] after a stop was
+ * accepted. Not thread-safe: one thread uses all stand-ins of one [monitor].
  */
 class PlatformUpstreamStandIn(
     private val taskMillis: Long,
     private val cores: Int,
     private val monitor: RunMonitor,
+    private val random: Random,
 ) {
     private val startedAt = System.currentTimeMillis()
-    private val active = LinkedHashMap<String, Run>()
+    private val active = ArrayList<Run>()
+    private val highestEnded = HashMap<String, Long>()
     private val ended = ArrayList<EndedRun>()
     private var lastEndSequence = 0L
     private var fencingToken = 0L
     private var leaseEndsAt = 0L
+    private var hasEnded = false
 
     init {
         monitor.register(this)
@@ -43,8 +50,21 @@
             """"warmup_left_ms":0,"capacity":{"cpu":${cores * MILLICORES},"mem_mb":4096,"gpu":0},"labels":[],""" +
             """"clock_ms":${clock()},"born":$startedAt,"seq_no":$sequence}"""
 
+    /** Ends the process and all its runs. Calls get no answer from then on. */
+    internal fun end() {
+        hasEnded = true
+        active.clear()
+        monitor.remove(this)
+    }
+
     /** Answers one call. */
     suspend fun answer(request: HttpRequest): HttpResponse {
+        val response = if (hasEnded) null else respond(request)
+        if (response == null || hasEnded) awaitCancellation()
+        return response
+    }
+
+    private suspend fun respond(request: HttpRequest): HttpResponse {
         val body = Json.parseToJsonElement(request.body.decodeToString()).jsonObject
         val token = body.getValue("fence_token").jsonPrimitive.long
         endDueRuns()
@@ -63,9 +83,10 @@
         val number = body.getValue("run_id").jsonPrimitive.long
         if (body.getValue("deadline_ms").jsonPrimitive.long <= clock()) return rejected("late")
         extendLease(body)
-        if (active[task]?.number == number) return accepted()
+        if (active.any { it.task == task && it.number == number }) return accepted()
+        if (number <= (highestEnded[task] ?: 0)) return rejected("old")
         monitor.started(task)
-        active[task] = Run(number, clock() + taskMillis)
+        active += Run(task, number, clock() + taskMillis)
         if (active.size > cores) monitor.overcommitted += task
         return accepted()
     }
@@ -73,12 +94,15 @@
     /** Whether a run of [task] is active. */
     internal fun isRunning(task: String): Boolean {
         endDueRuns()
-        return task in active
+        return active.any { it.task == task }
     }
 
     private fun stop(body: JsonObject): HttpResponse {
         val task = body.getValue("task").jsonPrimitive.content
-        active.remove(task)?.let { end(task, it, "stopped") }
+        val number = body.getValue("run_id").jsonPrimitive.long
+        highestEnded.merge(task, number, ::maxOf)
+        val stopsAt = clock() + random.nextLong(LONGEST_STOP_MILLIS + 1)
+        active.filter { it.task == task && it.number == number }.forEach { it.stopsAt = minOf(it.stopsAt, stopsAt) }
         return accepted()
     }
 
@@ -100,34 +124,41 @@
         buildJsonObject {
             put("clock_ms", clock())
             put("born", startedAt)
-            putJsonArray("active") { active.forEach { (task, run) -> add(row(task, run)) } }
+            putJsonArray("active") { active.forEach { add(row(it)) } }
             putJsonArray("ended_runs") { ended.forEach { add(it.row()) } }
         }
 
-    private fun row(
-        task: String,
-        run: Run,
-    ) = Json.parseToJsonElement("""["$task",${run.number},"",${progressPercent(run)},1000]""")
+    private fun row(run: Run) =
+        Json.parseToJsonElement("""["${run.task}",${run.number},"",${progressPercent(run)},1000]""")
 
     private fun progressPercent(run: Run): Long =
         (FULL_PERCENT - (run.endsAt - clock()) * FULL_PERCENT / taskMillis).coerceIn(0, FULL_PERCENT)
 
-    /** Ends the runs that have finished, and all runs once the lease has expired. */
+    /** Ends the runs that have finished or are stopped, and all runs once the lease has expired. */
     private fun endDueRuns() {
-        val leaseExpired = clock() > leaseEndsAt
-        val dueRuns = active.filterValues { it.endsAt <= clock() || leaseExpired }
-        dueRuns.forEach { (task, run) ->
-            active.remove(task)
-            end(task, run, if (run.endsAt <= clock()) "done" else "lapsed")
-        }
+        val now = clock()
+        val outcomes = active.associateWith { outcome(it, now) }
+        active.removeIf { outcomes[it] != null }
+        outcomes.forEach { (run, outcome) -> if (outcome != null) end(run, outcome) }
     }
 
+    private fun outcome(
+        run: Run,
+        now: Long,
+    ): String? =
+        when {
+            run.endsAt <= now -> "done"
+            run.stopsAt <= now -> "stopped"
+            now > leaseEndsAt -> "lapsed"
+            else -> null
+        }
+
     private fun end(
-        task: String,
         run: Run,
         outcome: String,
     ) {
-        ended += EndedRun(++lastEndSequence, task, run.number, outcome)
+        highestEnded.merge(run.task, run.number, ::maxOf)
+        ended += EndedRun(++lastEndSequence, run.task, run.number, outcome)
     }
 
     private fun extendLease(body: JsonObject) {
@@ -142,9 +173,12 @@
     private fun clock(): Long = System.currentTimeMillis() - startedAt
 
     private class Run(
+        val task: String,
         val number: Long,
         val endsAt: Long,
-    )
+    ) {
+        var stopsAt = Long.MAX_VALUE
+    }
 
     private class EndedRun(
         val sequence: Long,
@@ -163,5 +197,6 @@
         const val POLL_MILLIS = 5L
         const val FULL_PERCENT = 100L
         const val LONGEST_LEASE_MILLIS = 1_000L
+        const val LONGEST_STOP_MILLIS = 50L
     }
 }
--- a/egretlock-testing/src/main/kotlin/io/egretlock/testing/platform/RunMonitor.kt
+++ b/egretlock-testing/src/main/kotlin/io/egretlock/testing/platform/RunMonitor.kt
@@ -9,7 +9,7 @@
     /** Tasks in the order in which they were started. */
     val started = CopyOnWriteArrayList<String>()
 
-    /** Tasks that were started while another run of them was active. */
+    /** Tasks that were started while another run of them was active on an upstream that is up, the same or another. */
     val overlaps = CopyOnWriteArrayList<String>()
 
     /** Tasks that were started on an upstream without a free core. */
@@ -19,6 +19,11 @@
         upstreams += upstream
     }
 
+    /** Takes [upstream] for down: none of its runs goes on. */
+    internal fun remove(upstream: PlatformUpstreamStandIn) {
+        upstreams -= upstream
+    }
+
     internal fun started(task: String) {
         if (upstreams.any { it.isRunning(task) }) overlaps += task
         started += task
--- a/egretlock-testing/src/main/kotlin/io/egretlock/testing/soak/Soak.kt
+++ b/egretlock-testing/src/main/kotlin/io/egretlock/testing/soak/Soak.kt
@@ -31,12 +31,13 @@
             settings.agentCount,
             CORES,
             TARGET_MILLIS,
+            settings.seed,
         )
 
     private suspend fun run(platform: PlatformStandIn): SoakReport {
         val random = Random(settings.seed)
         val callers = SoakCallers(platform, Random(settings.seed), settings.longestAnswerMillis)
-        val faults = SoakFaults(platform, random)
+        val faults = SoakFaults(platform, random, settings.faultKinds)
         platform.start()
         whileCallersSubmit(callers) { faults.injectFor(settings.faultMillis) }
         val recovery = awaitRecovery(callers)
@@ -74,9 +75,10 @@
     private companion object {
         const val NANOS_PER_MILLI = 1_000_000L
 
-        /** Load that takes about half of the room with six callers. */
         const val TASK_MILLIS = 150L
-        const val CORES = 4
+
+        /** Room for more runs than an agent has connections for orders, so that orders wait for a silent upstream. */
+        const val CORES = 16
         const val TARGET_MILLIS = 1_000L
 
         /** Completed jobs in a row after which the service counts as recovered. */
--- a/egretlock-testing/src/main/kotlin/io/egretlock/testing/soak/SoakCallers.kt
+++ b/egretlock-testing/src/main/kotlin/io/egretlock/testing/soak/SoakCallers.kt
@@ -67,7 +67,7 @@
         const val HTTP_UNAVAILABLE = 503
         const val NANOS_PER_MILLI = 1_000_000L
         const val ATTEMPTS = 4
-        const val TASK_COUNT_BOUND = 4
+        const val TASK_COUNT_BOUND = 9
         const val LONGEST_PAUSE_MILLIS = 100L
 
         /** Time after which the platform's callers resubmit a job. */
--- a/egretlock-testing/src/main/kotlin/io/egretlock/testing/soak/SoakFaults.kt
+++ b/egretlock-testing/src/main/kotlin/io/egretlock/testing/soak/SoakFaults.kt
@@ -1,5 +1,6 @@
 package io.egretlock.testing.soak
 
+import io.egretlock.testing.platform.PlatformAgent
 import io.egretlock.testing.platform.PlatformNode
 import io.egretlock.testing.platform.PlatformStandIn
 import io.egretlock.testing.system.ProcessSignal
@@ -11,12 +12,17 @@
 import kotlinx.coroutines.withContext
 import kotlin.random.Random
 
-/** Injects faults into the platform, in sequence and overlapping; a node has at most one at a time. Not thread-safe. */
+/**
+ * Injects faults of the given [kinds] into the platform, in sequence and overlapping; an instance has at most one at a
+ * time, and so has an upstream. Not thread-safe.
+ */
 internal class SoakFaults(
     private val platform: PlatformStandIn,
     private val random: Random,
+    private val kinds: List<SoakFaultKind>,
 ) {
     private val faultyNodes = HashSet<PlatformNode>()
+    private val faultyUpstreams = HashSet<PlatformAgent>()
     private val descriptions = mutableListOf<String>()
     private var version = 1
 
@@ -35,16 +41,23 @@
         }
 
     private fun startFault(scope: CoroutineScope) {
-        val kind = Kind.entries.random(random)
+        val kind = kinds.random(random)
         val durationMillis = random.nextLong(SHORTEST_DURATION_MILLIS, LONGEST_DURATION_MILLIS)
         val node = platform.nodes.random(random)
+        val agent = platform.agents.random(random)
+        val downMillis = random.nextLong(SHORTEST_DOWN_MILLIS, LONGEST_DOWN_MILLIS)
         val signal = kind.signal
         when {
             signal != null && faultyNodes.add(node) -> {
                 descriptions += "$kind ${node.name} for $durationMillis ms"
                 scope.launch { injectProcessFault(node, signal, durationMillis) }
             }
-            kind == Kind.STORE_DOWN && !platform.store.isDown -> {
+            kind.isRestart && canEnd(agent) -> {
+                descriptions += "$kind of the upstream of ${agent.node.name} after $downMillis ms"
+                faultyUpstreams += agent
+                scope.launch { restart(agent, kind, downMillis) }
+            }
+            kind == SoakFaultKind.STORE_DOWN && !platform.store.isDown -> {
                 descriptions += "$kind for $durationMillis ms"
                 platform.store.isDown = true
                 scope.launch {
@@ -52,7 +65,7 @@
                     platform.store.isDown = false
                 }
             }
-            kind == Kind.CONFIGURATION -> {
+            kind == SoakFaultKind.CONFIGURATION -> {
                 descriptions += "$kind version ${++version}"
                 platform.configure(version)
             }
@@ -71,14 +84,19 @@
         faultyNodes -= node
     }
 
-    private enum class Kind(
-        val signal: ProcessSignal?,
+    /** Whether half of the upstreams stay up, so that the tasks of an upstream that is down have another place. */
+    private fun canEnd(agent: PlatformAgent) =
+        agent !in faultyUpstreams && faultyUpstreams.size < platform.agents.size / 2
+
+    private suspend fun restart(
+        agent: PlatformAgent,
+        kind: SoakFaultKind,
+        downMillis: Long,
     ) {
-        KILL(ProcessSignal.KILL),
-        PLANNED_STOP(ProcessSignal.TERM),
-        PAUSE(ProcessSignal.STOP),
-        STORE_DOWN(null),
-        CONFIGURATION(null),
+        agent.upstream.end(isSilent = kind == SoakFaultKind.SILENT_RESTART)
+        delay(downMillis)
+        agent.upstream.start()
+        faultyUpstreams -= agent
     }
 
     private companion object {
@@ -91,5 +109,9 @@
         /** Durations of faults, from below to well above the 600 ms after which a silent connection is closed. */
         const val SHORTEST_DURATION_MILLIS = 100L
         const val LONGEST_DURATION_MILLIS = 2_500L
+
+        /** Times for which an upstream is down, from below to well above the time for which leases last. */
+        const val SHORTEST_DOWN_MILLIS = 300L
+        const val LONGEST_DOWN_MILLIS = 4_500L
     }
 }
--- a/egretlock-testing/src/main/kotlin/io/egretlock/testing/soak/SoakSettings.kt
+++ b/egretlock-testing/src/main/kotlin/io/egretlock/testing/soak/SoakSettings.kt
@@ -6,6 +6,7 @@
  * @property seed seed of the faults and their times. Processes and the network are not deterministic, so runs with the
  * same seed have the same faults, but not the same timing.
  * @property faultMillis time during which faults start.
+ * @property faultKinds kinds of the faults, chosen with equal odds.
  * @property recoveryMillis time after the last fault within which jobs must be completed again.
  * @property longestAnswerMillis time within which every request must be answered or its connection closed.
  */
@@ -14,7 +15,8 @@
     val faultMillis: Long,
     val entryCount: Int = 3,
     val agentCount: Int = 4,
-    val callerCount: Int = 6,
+    val callerCount: Int = 24,
+    val faultKinds: List<SoakFaultKind> = SoakFaultKind.entries,
     val recoveryMillis: Long = RECOVERY_MILLIS,
     val longestAnswerMillis: Long = LONGEST_ANSWER_MILLIS,
 ) {
