--- a/review/standins-2/Balancer.java
+++ b/review/standins-2/Balancer.java
@@ -8,6 +8,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 
 /**
  * The platform's ingress in one zone: asks each entry once a second whether it is ready, takes it out of rotation after
@@ -18,6 +19,7 @@
     private final Deployment deployment;
     private final List<Deployment.Entry> entries;
     private final Map<String, Integer> misses = new HashMap<>();
+    private final Map<String, Long> silentSince = new ConcurrentHashMap<>();
 
     Balancer(Deployment deployment, List<Deployment.Entry> entries) throws IOException {
         this.deployment = deployment;
@@ -42,6 +44,22 @@
         return misses.get(entry.name()) < 2;
     }
 
+    /** From now on the machine of [entry] answers nothing: what is sent to it, or by it, on open channels is lost. */
+    void silence(Deployment.Entry entry) {
+        silentSince.put(entry.name(), Deployment.now());
+    }
+
+    /** The machine answers again. */
+    void unsilence(Deployment.Entry entry) {
+        silentSince.remove(entry.name());
+    }
+
+    /** Time for which the keep-alive probes to the machine of [entry] have had no answer. */
+    long silentMillis(Deployment.Entry entry) {
+        Long since = silentSince.get(entry.name());
+        return since == null ? 0 : Deployment.now() - since;
+    }
+
     /** The client of these cases hashes to the last entry of those in rotation. */
     synchronized Deployment.Entry select() {
         List<Deployment.Entry> inRotation = new ArrayList<>(entries.stream().filter(this::isInRotation).toList());
@@ -51,7 +69,7 @@
 
     private void check(Deployment.Entry entry) {
         while (true) {
-            boolean ready = entry.isReady();
+            boolean ready = silentMillis(entry) == 0 && entry.isReady();
             synchronized (this) {
                 boolean before = isInRotation(entry);
                 misses.merge(entry.name(), 1, (old, one) -> ready ? 0 : old + 1);
@@ -72,22 +90,25 @@
         deployment.log("ingress: new channel to " + entry.name());
         try {
             Socket onward = new Socket(entry.host(), entry.frontendPort());
-            Deployment.THREADS.execute(() -> copy(channel, onward));
-            copy(onward, channel);
+            Deployment.THREADS.execute(() -> copy(channel, onward, entry));
+            copy(onward, channel, entry);
         } catch (IOException refused) {
             close(channel);
         }
     }
 
-    private static void copy(Socket from, Socket to) {
+    private void copy(Socket from, Socket to, Deployment.Entry entry) {
         byte[] buffer = new byte[8192];
         try {
             InputStream in = from.getInputStream();
             OutputStream out = to.getOutputStream();
-            for (int count = in.read(buffer); count >= 0; count = in.read(buffer)) out.write(buffer, 0, count);
+            for (int count = in.read(buffer); count >= 0; count = in.read(buffer)) {
+                if (silentMillis(entry) == 0) out.write(buffer, 0, count);
+            }
         } catch (IOException ended) {
             // The other side is closed below, as the ingress does.
         }
+        if (silentMillis(entry) > 0) return;
         close(from);
         close(to);
     }
