--- a/review/standins-2/Deployment.java
+++ b/review/standins-2/Deployment.java
@@ -22,6 +22,7 @@
 import java.util.TreeMap;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -39,6 +40,8 @@
         return thread;
     });
 
+    /** Loopback addresses of this run alone, so that runs beside each other share no port. */
+    final String hosts = "127." + ThreadLocalRandom.current().nextInt(16, 250) + "." + ThreadLocalRandom.current().nextInt(1, 250) + ".";
     final List<String> record = new ArrayList<>();
     final Map<String, Process> processes = new LinkedHashMap<>();
     final Path folder;
@@ -49,7 +52,7 @@
 
     Deployment() throws IOException {
         folder = Files.createTempDirectory("review-");
-        internalPort = freePort("127.0.0.1");
+        internalPort = freePort(hosts + 11);
         Runtime.getRuntime().addShutdownHook(new Thread(() -> processes.values().forEach(Process::destroyForcibly)));
     }
 
@@ -63,15 +66,22 @@
         }
     }
 
+    /** Returns a free port below those that the system gives to clients, so that none of them takes it meanwhile. */
     static int freePort(String host) throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(host))) {
-            return socket.getLocalPort();
+        for (int tries = 0; tries < 100; tries++) {
+            int port = ThreadLocalRandom.current().nextInt(15_000, 32_000);
+            try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getByName(host))) {
+                return socket.getLocalPort();
+            } catch (IOException inUse) {
+                // The next random port is tried.
+            }
         }
+        throw new IOException("no free port on " + host);
     }
 
     /** Prepares an entry with an address of its own; all entries use the same internal port. */
     Entry entry(int number, String seeds) throws IOException {
-        String host = "127.0.0." + (10 + number);
+        String host = hosts + (10 + number);
         Entry entry = new Entry("edge-" + number, host, freePort(host), freePort(host));
         write(entry.name, "entry", host, seeds, List.of(
             "bind_addrs.frontend=" + host + ":" + entry.frontendPort,
--- a/review/standins-2/FrozenEntry.java
+++ b/review/standins-2/FrozenEntry.java
@@ -33,7 +33,8 @@
 
     private static boolean play(Deployment deployment, boolean trouble) throws Exception {
         String port = ":" + deployment.internalPort;
-        String seeds = "127.0.0.11" + port + ",127.0.0.12" + port + ",127.0.0.13" + port;
+        String hosts = deployment.hosts;
+        String seeds = hosts + 11 + port + "," + hosts + 12 + port + "," + hosts + 13 + port;
         List<Deployment.Entry> entries = new ArrayList<>();
         for (int number = 1; number <= 3; number++) entries.add(deployment.entry(number, seeds));
         List<Worker> workers = new ArrayList<>();
--- a/review/standins-2/LateStart.java
+++ b/review/standins-2/LateStart.java
@@ -24,7 +24,7 @@
     }
 
     private static boolean play(Deployment deployment, boolean trouble) throws Exception {
-        String seeds = "127.0.0.11:" + deployment.internalPort;
+        String seeds = deployment.hosts + "11:" + deployment.internalPort;
         Deployment.Entry entry = deployment.entry(1, seeds);
         List<Worker> workers = new ArrayList<>();
         for (int number = 1; number <= WORKERS; number++) workers.add(new Worker(deployment, number));
--- a/review/standins-2/Worker.java
+++ b/review/standins-2/Worker.java
@@ -18,6 +18,9 @@
     final int controlPort;
     final String service = "svc";
     final List<Start> starts = new ArrayList<>();
+    /** Whether it refuses starts with 503, as an unhealthy worker does. */
+    volatile boolean isUnhealthy;
+
     /** Id of the current incarnation. */
     volatile String id;
     private final int number;
@@ -56,7 +59,7 @@
     Worker(Deployment deployment, int number) throws IOException {
         this.deployment = deployment;
         this.number = number;
-        host = "127.0.0." + (30 + number);
+        host = deployment.hosts + (30 + number);
         appPort = Deployment.freePort(host);
         controlPort = Deployment.freePort(host);
     }
@@ -175,6 +178,10 @@
                 deployment.log(id + " leaves a start unanswered: " + body);
                 return;
             }
+            if (isUnhealthy && path.equals("/api/run-start")) {
+                Http.answer(exchange, 503, "{\"clock_ms\":" + clock() + "}");
+                return;
+            }
             answer = given < token ? rejection("fence") : null;
             if (answer == null) {
                 token = given;
