--- a/egretlock-agent/src/main/kotlin/io/egretlock/agent/run/RunAgent.kt
+++ b/egretlock-agent/src/main/kotlin/io/egretlock/agent/run/RunAgent.kt
@@ -15,8 +15,10 @@
 import io.egretlock.core.run.UpstreamOrders
 import io.egretlock.core.run.UpstreamReport
 import io.egretlock.process.event
+import io.egretlock.protocol.ConfirmRuns
 import io.egretlock.protocol.Link
 import io.egretlock.protocol.Message
+import io.egretlock.protocol.Relayed
 import io.egretlock.protocol.RunEnded
 import io.egretlock.protocol.StartRuns
 import io.egretlock.protocol.StopRun
@@ -48,6 +50,10 @@
     private val entries = LinkedHashMap<Link, EntryState>()
     private var lastReport: UpstreamReport? = null
     private var preferredEntry: ProcessId? = null
+    private val entryLists = EntryLists()
+
+    private val connectedEntries: Map<Link, ProcessId>
+        get() = entries.mapValues { it.value.entry }
     private var isTickScheduled = false
     private var upstreamStartedAtMillis: Long? = null
 
@@ -74,8 +80,9 @@
                 next = inbox.tryReceive().getOrNull()
             }
             markBusyLinks()
+            val hasListPending = entryLists.sendIfDue(nowMillis()) { connectedEntries }
             val hasReportPending = report()
-            if (hasReportPending || ledger.runs.size > 0) scheduleTick()
+            if (hasListPending || hasReportPending || ledger.runs.size > 0) scheduleTick()
         }
     }
 
@@ -104,7 +111,10 @@
                 ledger.onHeartbeat(input.status)
                 raiseTokenAfterRestart()
             }
-            is RunAgentInput.UpstreamDeregistered -> onUpstreamDeregistered(input.name)
+            is RunAgentInput.UpstreamDeregistered -> {
+                logger.event(RunAgentEvent.UPSTREAM_CHANGED, "upstream" to input.name, "state" to "left")
+                ledger.onDeregistration(input.name)
+            }
             is RunAgentInput.StartAnswered -> onStartAnswered(input, now)
             is RunAgentInput.StopAnswered -> onStopAnswered(input)
             is RunAgentInput.RenewalEnded -> onRenewalEnded(input, now)
@@ -118,12 +128,14 @@
 
     private fun onConnected(input: RunAgentInput.EntryConnected) {
         entries[input.link] = EntryState(input.entry)
-        updatePreferredEntry()
+        onEntriesChanged()
+        entryLists.sendFirst(input.link, connectedEntries)
         logger.event(RunAgentEvent.ENTRY_CONNECTED, "entry" to input.entry.entry)
     }
 
-    private fun updatePreferredEntry() {
+    private fun onEntriesChanged() {
         preferredEntry = EntryPreference.preferred(name, failureDomain, entries.values.map { it.connectedEntry })
+        entryLists.markChanged()
     }
 
     private fun onMessage(
@@ -135,6 +147,8 @@
         when (message) {
             is StartRuns -> onOrdered(link, state, message, now)
             is StopRun -> perform(ledger.onStopRequested(message.run, now))
+            is ConfirmRuns -> ledger.runs.confirm(state.entry, message.job)
+            is Relayed -> linkOf(message.peer)?.send(Relayed(state.entry, message.message))
             else -> logger.debug { "Ignored a message that agents do not handle: $message" }
         }
     }
@@ -164,16 +178,11 @@
         now: Long,
     ) {
         val state = entries.remove(link) ?: return
-        updatePreferredEntry()
+        onEntriesChanged()
         logger.event(RunAgentEvent.ENTRY_LOST, "entry" to state.entry)
         if (entries.values.none { it.entry == state.entry }) perform(ledger.onEntryLost(state.entry, now))
     }
 
-    private fun onUpstreamDeregistered(name: String) {
-        logger.event(RunAgentEvent.UPSTREAM_CHANGED, "upstream" to name, "state" to "left")
-        ledger.onDeregistration(name)
-    }
-
     private fun onStartAnswered(
         input: RunAgentInput.StartAnswered,
         now: Long,
@@ -293,11 +302,14 @@
             "answerAgeMillis" to nowMillis() - ledger.answeredAtMillis,
             "otherRuns" to ledger.runs.entriesOf(effect.run.task).takeIf { it.isNotEmpty() },
         )
-        val (link, state) = entries.entries.lastOrNull { it.value.entry == effect.entry } ?: return
-        state.pacing.requestReport()
+        val link = linkOf(effect.entry) ?: return
+        entries.getValue(link).pacing.requestReport()
         link.send(RunEnded(effect.run, effect.end, effect.runMillis))
     }
 
+    /** Returns the latest connection to [entry]; null if there is none. */
+    private fun linkOf(entry: ProcessId): Link? = entries.entries.lastOrNull { it.value.entry == entry }?.key
+
     private fun disconnect() {
         logger.event(RunAgentEvent.PROCESS_PAUSED, "entries" to entries.size)
         val now = nowMillis()
--- a/egretlock-agent/src/test/kotlin/io/egretlock/agent/run/RunAgentTest.kt
+++ b/egretlock-agent/src/test/kotlin/io/egretlock/agent/run/RunAgentTest.kt
@@ -21,9 +21,12 @@
 import io.egretlock.core.run.UpstreamIncarnation
 import io.egretlock.core.run.UpstreamOrders
 import io.egretlock.core.run.UpstreamStatus
+import io.egretlock.protocol.ConnectedEntries
+import io.egretlock.protocol.JoinJob
 import io.egretlock.protocol.Link
 import io.egretlock.protocol.LinkListener
 import io.egretlock.protocol.LinkTiming
+import io.egretlock.protocol.Relayed
 import io.egretlock.protocol.RunEnded
 import io.egretlock.protocol.StartRuns
 import io.egretlock.protocol.UpstreamReported
@@ -68,7 +71,7 @@
 
     /** Returns `isPreferred` of the next report that names an upstream; earlier reports name none. */
     private suspend fun Link.isPreferred(): Boolean {
-        while (true) (incoming.receive() as UpstreamReported).report?.let { return it.isPreferred }
+        while (true) (incoming.receive() as? UpstreamReported)?.report?.let { return it.isPreferred }
     }
 
     @Test
@@ -134,13 +137,48 @@
                 agent.tell(RunAgentInput.EntryMessage(agentEnd, StartRuns(ORDER)))
                 upstream.fallSilentDuringStart()
                 agent.tell(RunAgentInput.EntryMessage(agentEnd, StartRuns(SECOND_ORDER)))
-                assertEquals(2, entryEnd.nextRunEnd().run.number)
+                assertEquals(
+                    SECOND_ORDER.job,
+                    entryEnd
+                        .nextRunEnd()
+                        .run.task.job,
+                )
 
                 upstream.endStart()
-                assertEquals(1, entryEnd.nextRunEnd().run.number)
+                assertEquals(
+                    ORDER.job,
+                    entryEnd
+                        .nextRunEnd()
+                        .run.task.job,
+                )
             }
         }
 
+    @Test
+    fun `given two entries, then each is told of the other, and messages between them are passed on`() =
+        runBlocking {
+            withTimeout(DEADLINE_MILLIS) {
+                val listener =
+                    LinkListener.bind(NodeAddress("127.0.0.1", 0), loop, scope, LENIENT_TIMING, accepted::send)
+                scope.launch { agent.run() }
+                val (firstAgentEnd, first) = connect(listener, "first")
+                val (_, second) = connect(listener, "second")
+                val both = setOf(known("first").entry, known("second").entry)
+                listOf(first, second).forEach { link -> while (link.connectedEntries() != both) Unit }
+                val relayed = Relayed(known("second").entry, JoinJob(JobId("job")))
+                agent.tell(RunAgentInput.EntryMessage(firstAgentEnd, relayed))
+                assertEquals(Relayed(known("first").entry, relayed.message), second.nextRelayed())
+            }
+        }
+
+    private suspend fun Link.connectedEntries(): Set<ProcessId> {
+        while (true) (incoming.receive() as? ConnectedEntries)?.let { return it.entries.toSet() }
+    }
+
+    private suspend fun Link.nextRelayed(): Relayed {
+        while (true) (incoming.receive() as? Relayed)?.let { return it }
+    }
+
     /** Guards against an order for an earlier incarnation of the upstream that a later one carries out. */
     @Test
     fun `given an upstream that restarts, when an answer or a heartbeat shows it, then calls carry the next token`() =
@@ -371,7 +409,8 @@
 
         val ORDER = RunOrder(1, JobId("job"), "text", listOf(OrderedRun(0, 0, 1, Room(1_000, 64), 100.0)))
 
-        val SECOND_ORDER = ORDER.copy(sequence = 2, runs = ORDER.runs.map { it.copy(number = 2) })
+        /** Order of another job, which the agent of a silent upstream refuses at once. */
+        val SECOND_ORDER = ORDER.copy(sequence = 2, job = JobId("second"))
 
         fun known(name: String) = ConnectedEntry(ProcessId(name, 1), DOMAIN)
     }
--- a/egretlock-bench/src/main/kotlin/io/egretlock/bench/steps/StepSimulation.kt
+++ b/egretlock-bench/src/main/kotlin/io/egretlock/bench/steps/StepSimulation.kt
@@ -6,6 +6,7 @@
 import io.egretlock.core.run.AgentRooms
 import io.egretlock.core.run.ConnectedEntry
 import io.egretlock.core.run.EntryPreference
+import io.egretlock.core.run.JobOwnership
 import io.egretlock.core.run.OrderedRun
 import io.egretlock.core.run.ReportPacing
 import io.egretlock.core.run.Room
@@ -51,14 +52,13 @@
  * Simulates several entries that share the same upstreams, in virtual time. Every message takes [DELAY_MILLIS].
  */
 internal class StepSimulation(
-    policies: (Random) -> StepJobPolicies,
+    private val policies: (Random) -> StepJobPolicies,
     private val upstreams: List<SimulatedUpstream>,
     entries: Int = 3,
 ) {
     private val events = EventQueue()
-    private val schedulers =
-        List(entries) { StepJobScheduler(AgentRooms(), policies(Random(it)), epochSeconds = { 1 }) }
-    private val connectedEntries = List(entries) { ConnectedEntry(ProcessId("entry-$it", 1), domain(it)) }
+    private val schedulers = List(entries) { newScheduler(it) }
+    private val connectedEntries = List(entries) { ConnectedEntry(entryId(it), domain(it)) }
     private val agents = upstreams.map { Agent(it) }
     private val arrived = HashMap<String, ArrivingJob>()
     private val results = mutableListOf<JobResult>()
@@ -88,6 +88,13 @@
         return results
     }
 
+    private fun entryId(index: Int) = ProcessId("entry-$index", 1)
+
+    private fun newScheduler(index: Int): StepJobScheduler {
+        val ownership = JobOwnership(entryId(index))
+        return StepJobScheduler(AgentRooms(), policies(Random(index)), epochSeconds = { 1 }, ownership)
+    }
+
     private fun arrive(job: ArrivingJob) {
         arrived[job.job.id.value] = job
         val patienceMillis = (job.objectiveMillis * PATIENCE_FACTOR).toLong()
@@ -109,6 +116,7 @@
         for (effect in effects) {
             when (effect) {
                 is StepJobEffect.Start -> at(nowMillis + DELAY_MILLIS) { agent(effect.agent).order(home, effect.order) }
+                is StepJobEffect.ConfirmRuns -> Unit
                 is StepJobEffect.Stop -> at(nowMillis + DELAY_MILLIS) { agent(effect.agent).stop(effect.run) }
                 is StepJobEffect.Answer -> answer(effect)
             }
--- a/egretlock-core/src/main/kotlin/io/egretlock/core/run/ActiveJob.kt
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/run/ActiveJob.kt
@@ -58,9 +58,18 @@
     var lostAgent: ProcessId? = null
     val failedOn = HashSet<ProcessId>()
 
+    /** Whether the latest run was stopped although the job goes on. */
+    var isStopRequested = false
+
     val isWaiting: Boolean
         get() = agent == null && !hasSucceeded
 
+    /** Whether the agent stops the latest run unless it is confirmed. */
+    var needsConfirmation = false
+
+    /** Whether runs at a lost agent may still be active at [nowMillis]. */
+    fun isLostAt(nowMillis: Long): Boolean = isWaiting && nowMillis < notBeforeMillis
+
     val run: RunId
         get() = RunId(id, runNumber)
 
@@ -74,5 +83,6 @@
         runNumber = nextRunNumber++
         orderSequence = sequence
         orderedAtMillis = nowMillis
+        isStopRequested = false
     }
 }
--- a/egretlock-core/src/main/kotlin/io/egretlock/core/run/LedgerRun.kt
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/run/LedgerRun.kt
@@ -6,6 +6,7 @@
 /**
  * State of a run in a [RunLedger]. The run holds its room until the upstream has shown that it is over.
  *
+ * @property confirmUntilMillis time at which the run is stopped, unless its entry has confirmed it; null if it has.
  * @property upstreamStartedAtMillis start time of the incarnation of the upstream that the run was accepted for.
  */
 internal class LedgerRun(
@@ -14,6 +15,7 @@
     val ordered: OrderedRun,
     val orderedAtMillis: Long,
     val upstreamStartedAtMillis: Long?,
+    var confirmUntilMillis: Long? = null,
 ) {
     /** Time at which the call to start the run ended, with or without an answer; null until then. */
     var startEndedAtMillis: Long? = null
--- a/egretlock-core/src/main/kotlin/io/egretlock/core/run/LedgerRuns.kt
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/run/LedgerRuns.kt
@@ -1,5 +1,6 @@
 package io.egretlock.core.run
 
+import io.egretlock.core.job.JobId
 import io.egretlock.core.job.ProcessId
 
 /** The runs of a [RunLedger] that were accepted and have not ended, in the order of their acceptance. */
@@ -26,6 +27,12 @@
     /** Returns the entries that ordered runs of [task], by run number. */
     fun entriesOf(task: StepTask): Map<Int, ProcessId> = ofTask(task).associate { it.id.number to it.entry }
 
+    /** Records that no entry but [entry] works on [job], so that its runs may go on. */
+    fun confirm(
+        entry: ProcessId,
+        job: JobId,
+    ) = orderedBy(entry).filter { it.id.task.job == job }.forEach { it.confirmUntilMillis = null }
+
     internal operator fun get(run: RunId): LedgerRun? = runs[run]
 
     internal fun add(run: LedgerRun) {
--- a/egretlock-core/src/main/kotlin/io/egretlock/core/run/RunLedger.kt
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/run/RunLedger.kt
@@ -17,6 +17,8 @@
     private val upstream = UpstreamView()
     private var isDraining = false
 
+    private val deferredRefusals = DeferredRefusals()
+
     /** Whether the last answer to a renewal listed no active run that is missing from [runs]. */
     private var isUpstreamCleared = false
 
@@ -130,7 +132,10 @@
     fun onStopRequested(
         run: RunId,
         nowMillis: Long,
-    ): List<LedgerEffect> = listOfNotNull(runs[run]?.let { requestStop(it, RunEnd.STOPPED, nowMillis) })
+    ): List<LedgerEffect> {
+        val active = runs[run] ?: return deferredRefusals.remove(run)
+        return listOfNotNull(requestStop(active, RunEnd.STOPPED, nowMillis))
+    }
 
     /**
      * Stops all runs that [entry] ordered, after its connection was lost: callers may submit their jobs to another
@@ -224,15 +229,17 @@
         return lost.flatMap { finish(it, it.stopReason ?: RunEnd.LOST, EndCause.LEASE_EXPIRED, nowMillis) }
     }
 
-    /** Repeats orders to stop that were not acknowledged. */
-    fun tick(nowMillis: Long): List<LedgerEffect> =
-        runs.all
-            .filter { it.stopReason != null && it.stoppedAfterRenewal == null }
-            .filter { nowMillis - it.stopSentAtMillis >= STOP_RETRY_MILLIS }
-            .map { run ->
-                run.stopSentAtMillis = nowMillis
-                LedgerEffect.Stop(run.id)
-            }
+    /** Stops runs that were not confirmed in time, and repeats orders to stop that were not acknowledged. */
+    fun tick(nowMillis: Long): List<LedgerEffect> {
+        val unconfirmed = runs.all.filter { run -> run.confirmUntilMillis?.let { it <= nowMillis } ?: false }
+        val stops = unconfirmed.mapNotNull { requestStop(it, RunEnd.STOPPED, nowMillis) }
+        val unacknowledged =
+            runs.all
+                .filter { it.stopReason != null && it.stoppedAfterRenewal == null }
+                .filter { nowMillis - it.stopSentAtMillis >= STOP_RETRY_MILLIS }
+        unacknowledged.forEach { it.stopSentAtMillis = nowMillis }
+        return stops + unacknowledged.map { LedgerEffect.Stop(it.id) }
+    }
 
     private fun acceptOrRefuse(
         entry: ProcessId,
@@ -245,15 +252,28 @@
         val deadline = upstream.leaseDeadlineClockMillis
         val refusal = if (others.isNotEmpty()) EndCause.OTHER_RUN else refusal(ordered.room)
         if (deadline == null || refusal != null) {
-            val earlier = others.filter { it.id.number < ordered.number }
-            val stops = earlier.mapNotNull { requestStop(it, RunEnd.STOPPED, nowMillis) }
-            val cause = refusal ?: EndCause.NOT_ACCEPTING
-            return stops + LedgerEffect.ReportEnd(entry, id, RunEnd.NOT_STARTED, 0.0, cause)
+            val report = LedgerEffect.ReportEnd(entry, id, RunEnd.NOT_STARTED, 0.0, refusal ?: EndCause.NOT_ACCEPTING)
+            return if (others.isEmpty()) listOf(report) else deferRefusal(report, others, nowMillis)
         }
-        runs.add(LedgerRun(id, entry, ordered, nowMillis, upstream.currentStartedAtMillis))
+        val confirmUntil = order.confirmWithinMillis?.let { nowMillis + it }
+        runs.add(LedgerRun(id, entry, ordered, nowMillis, upstream.currentStartedAtMillis, confirmUntil))
         return listOf(LedgerEffect.Start(id, order.specification, deadline))
     }
 
+    /**
+     * Refuses a run because of [others] of the same task and stops those of them with lower numbers. The refusal is
+     * reported only once they are over, since its entry places the task elsewhere then.
+     */
+    private fun deferRefusal(
+        refusal: LedgerEffect.ReportEnd,
+        others: List<LedgerRun>,
+        nowMillis: Long,
+    ): List<LedgerEffect> {
+        deferredRefusals.add(refusal)
+        val earlier = others.filter { it.id.number < refusal.run.number }
+        return earlier.mapNotNull { requestStop(it, RunEnd.STOPPED, nowMillis) }
+    }
+
     private fun refusal(demand: Room): EndCause? {
         val report = report()?.takeIf { it.accepting } ?: return EndCause.NOT_ACCEPTING
         return if (report.free.canHold(demand)) null else EndCause.NO_ROOM
@@ -327,7 +347,9 @@
         runs.remove(run)
         val runMillis = (nowMillis - run.orderedAtMillis).toDouble()
         if (end == RunEnd.SUCCEEDED) speedEstimate.record(run.ordered.expectedMillis, runMillis)
-        return listOf(LedgerEffect.ReportEnd(run.entry, run.id, end, runMillis, cause))
+        val task = run.id.task
+        val refusals = if (runs.ofTask(task).isEmpty()) deferredRefusals.removeAll(task) else emptyList()
+        return listOf(LedgerEffect.ReportEnd(run.entry, run.id, end, runMillis, cause)) + refusals
     }
 
     private fun resetAfterRestart(startedAtMillis: Long) {
--- a/egretlock-core/src/main/kotlin/io/egretlock/core/run/RunOrder.kt
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/run/RunOrder.kt
@@ -9,6 +9,8 @@
  * @property sequence number of the order; the entry's orders to an agent have increasing numbers, and an agent's report
  * names the last one it covers.
  * @property specification text that is passed to the upstream with each task.
+ * @property confirmWithinMillis time after which the agent stops the runs, unless the entry has confirmed by then that no
+ * other entry works on the job; null if it is confirmed. The agent measures it, since the entry may stand still.
  */
 @Serializable
 data class RunOrder(
@@ -16,6 +18,7 @@
     val job: JobId,
     val specification: String,
     val runs: List<OrderedRun>,
+    val confirmWithinMillis: Long? = null,
 ) {
     companion object {
         /**
--- a/egretlock-core/src/main/kotlin/io/egretlock/core/run/StepJobEffect.kt
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/run/StepJobEffect.kt
@@ -17,6 +17,12 @@
         val run: RunId,
     ) : StepJobEffect
 
+    /** Tell [agent] that no other entry works on [job], so that the runs ordered from it may go on. */
+    data class ConfirmRuns(
+        val agent: ProcessId,
+        val job: JobId,
+    ) : StepJobEffect
+
     /** Answer all callers that wait for [job] with [outcome]. */
     data class Answer(
         val job: JobId,
--- a/egretlock-core/src/main/kotlin/io/egretlock/core/run/StepJobPlacer.kt
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/run/StepJobPlacer.kt
@@ -8,13 +8,15 @@
     private val rooms: AgentRooms,
     private val runTimes: QueueRunTimes,
     private val policies: StepJobPolicies,
+    private val ownership: JobOwnership,
 ) {
-    /** Orders runs of as many ready tasks of [jobs] as there is room for. */
+    /** Orders runs of as many ready tasks of [jobs] as there is room for, if [mayPlace] allows runs of the job. */
     fun place(
         jobs: Collection<ActiveJob>,
         nowMillis: Long,
+        mayPlace: (JobId) -> Boolean,
     ): List<StepJobEffect.Start> {
-        val waiting = jobs.filter { it.isWaiting }
+        val waiting = jobs.filter { it.isWaiting && mayPlace(it.job.id) }
         if (waiting.isEmpty()) return emptyList()
         val orders = LinkedHashMap<Pair<JobId, ProcessId>, PendingOrder>()
         val inUse = inUse(jobs)
@@ -23,7 +25,7 @@
             if (available.isEmpty()) continue
             placeJob(job, available, inUse, nowMillis, orders)
         }
-        return orders.map { (key, order) -> startEffect(jobs, key.first, key.second, order) }
+        return orders.map { (key, order) -> startEffect(jobs, key.first, key.second, order, nowMillis) }
     }
 
     /** Returns the time by which a job must start to meet its latency objective on the fastest upstream. */
@@ -85,11 +87,17 @@
         job: JobId,
         agent: ProcessId,
         order: PendingOrder,
+        nowMillis: Long,
     ): StepJobEffect.Start {
         val room = checkNotNull(rooms[agent]) { "Chosen agent $agent is not connected." }
         room.recordSent(order.sequence, order.runs.fold(Room.NONE) { sum, run -> sum + run.room })
-        val specification = jobs.first { it.job.id == job }.job.specification
-        return StepJobEffect.Start(agent, RunOrder(order.sequence, job, specification, order.runs))
+        val active = jobs.first { it.job.id == job }
+        val confirmWithinMillis = ownership.confirmWithinMillis(job, nowMillis)
+        active.tasks
+            .filter { it.orderSequence == order.sequence }
+            .forEach { it.needsConfirmation = confirmWithinMillis != null }
+        val runs = RunOrder(order.sequence, job, active.job.specification, order.runs, confirmWithinMillis)
+        return StepJobEffect.Start(agent, runs)
     }
 
     /** Runs of one job that are to be ordered from one agent. */
--- a/egretlock-core/src/main/kotlin/io/egretlock/core/run/StepJobScheduler.kt
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/run/StepJobScheduler.kt
@@ -4,8 +4,6 @@
 import io.egretlock.core.job.JobId
 import io.egretlock.core.job.ProcessId
 import io.egretlock.core.job.Reason
-import io.egretlock.core.job.Verdict
-import kotlin.math.ceil
 
 /**
  * Scheduler of the jobs of one entry: decides which jobs are accepted, when and on which agents their tasks run, and
@@ -18,7 +16,9 @@
     private val rooms: AgentRooms,
     private val policies: StepJobPolicies,
     private val epochSeconds: () -> Int,
+    private val ownership: JobOwnership,
 ) {
+    private val ending = EndingRuns()
     private val jobs = LinkedHashMap<JobId, ActiveJob>()
     private val answered =
         object : LinkedHashMap<JobId, StepJobOutcome>() {
@@ -26,8 +26,9 @@
         }
     private val runTimes = QueueRunTimes()
     private val demand = QueueDemand(runTimes, policies.reserve)
-    private val placer = StepJobPlacer(rooms, runTimes, policies)
-    private val backlog = BacklogForecaster(rooms, placer, policies.order)
+    private val placer = StepJobPlacer(rooms, runTimes, policies, ownership)
+    private val verdicts =
+        StepJobVerdicts(rooms, placer, BacklogForecaster(rooms, placer, policies.order), policies.admission)
     private var isBatching = false
     private var isPlacementDue = false
 
@@ -41,6 +42,19 @@
     /** Returns the job with this id; null if it is not active. */
     fun find(job: JobId): ActiveJob? = jobs[job]
 
+    /** Returns which runs of [job] there are, also after it was answered. */
+    fun runsOf(
+        job: JobId,
+        nowMillis: Long,
+    ): JobRuns {
+        val tasks = jobs[job]?.tasks.orEmpty()
+        return when {
+            tasks.any { it.agent != null } || ending.hasActiveRuns(job) -> JobRuns.ACTIVE
+            tasks.any { it.isLostAt(nowMillis) } || job in ending -> JobRuns.LOST
+            else -> JobRuns.NONE
+        }
+    }
+
     /**
      * Accepts or refuses a job. If the job is active already, the caller waits for the same answer; if the job
      * succeeded recently, its answer is repeated.
@@ -59,18 +73,21 @@
         val size = demand.record(job, queue, nowMillis)
         val patience = patienceMillis ?: (objective * PATIENCE_FACTOR).toLong().coerceAtLeast(MIN_PATIENCE_MILLIS)
         val active = ActiveJob(job, queue, nowMillis, nowMillis + objective, nowMillis + patience, size)
-        refusal(active, nowMillis)?.let { return listOf(StepJobEffect.Answer(job.id, StepJobOutcome.GivenUp(it))) }
+        verdicts.refusal(active, jobs.values, nowMillis)?.let {
+            return listOf(StepJobEffect.Answer(job.id, StepJobOutcome.GivenUp(it)))
+        }
         jobs[job.id] = active
+        ownership.open(job.id, nowMillis)
         return placeAndExpire(nowMillis)
     }
 
-    /** Stops a job that no caller waits for any more; it gets no answer. */
+    /** Stops a job that no caller of this entry waits for any more; it gets no answer. */
     fun abandon(
         job: JobId,
         nowMillis: Long,
     ): List<StepJobEffect> {
-        val active = jobs.remove(job) ?: return emptyList()
-        return stopEffects(active) + placeAndExpire(nowMillis)
+        val active = jobs[job] ?: return emptyList()
+        return remove(active, nowMillis) + placeAndExpire(nowMillis)
     }
 
     /** Stops a job at its caller's request. */
@@ -79,8 +96,8 @@
         nowMillis: Long,
     ): List<StepJobEffect> {
         val active = jobs[job] ?: return emptyList()
-        val verdict = verdictOf(active, Reason.CANCELLED, "The caller cancelled the job.", nowMillis)
-        return finish(active, StepJobOutcome.GivenUp(verdict)) + placeAndExpire(nowMillis)
+        val verdict = verdicts.of(active, jobs.values, Reason.CANCELLED, "The caller cancelled the job.", nowMillis)
+        return finish(active, StepJobOutcome.GivenUp(verdict), nowMillis) + placeAndExpire(nowMillis)
     }
 
     /** Records that an agent has connected; forecasts include the room of its upstream before it is reported. */
@@ -116,7 +133,9 @@
     ): List<StepJobEffect> {
         val room = rooms[agent]
         rooms.remove(agent)
-        tasksOf(agent).forEach { (_, task) ->
+        val ordersValidMillis = if (hasReconnected) 0 else RunOrder.VALID_MILLIS
+        ending.onAgentLost(agent, nowMillis + ordersValidMillis + RUNS_ENDED_AFTER_MILLIS)
+        jobs.values.flatMap { it.tasks }.filter { it.agent == agent }.forEach { task ->
             val isOrderSettled = hasReconnected || room?.hasSeen(task.orderSequence) ?: false
             val validUntilMillis = if (isOrderSettled) nowMillis else task.orderedAtMillis + RunOrder.VALID_MILLIS
             task.agent = null
@@ -134,6 +153,7 @@
         runMillis: Double,
         nowMillis: Long,
     ): List<StepJobEffect> {
+        ending.onRunEnded(run)
         val active = jobs[run.task.job] ?: return placeAfterBatch(nowMillis)
         val task = active.task(run.task)
         if (task == null || task.agent != agent || task.runNumber != run.number) return placeAfterBatch(nowMillis)
@@ -161,6 +181,9 @@
         return if (isPlacementDue) placeAndExpire(nowMillis()) else emptyList()
     }
 
+    /** Places tasks that other entries have confirmed, unless a batch is being handled, which places them at its end. */
+    fun onOwnershipChanged(nowMillis: Long): List<StepJobEffect> = placeAfterBatch(nowMillis)
+
     /** Places waiting tasks and gives up jobs that can no longer be served in time; called at least every 20 ms. */
     fun tick(nowMillis: Long): List<StepJobEffect> = placeAndExpire(nowMillis)
 
@@ -183,13 +206,17 @@
                 task.hasSucceeded = true
                 rooms.record(agent, active.queue.name, succeeded = true, nowMillis)
                 rooms[agent]?.let { runTimes.record(active.queue.name, runMillis, it.report.speed) }
-                if (active.hasSucceeded()) return finish(active, StepJobOutcome.Succeeded)
+                if (active.hasSucceeded()) return finish(active, StepJobOutcome.Succeeded, nowMillis)
             }
             RunEnd.FAILED -> {
                 task.failures++
                 task.failedOn += agent
                 rooms.record(agent, active.queue.name, succeeded = false, nowMillis)
-                if (task.failures >= active.queue.attempts) return finish(active, StepJobOutcome.Failed(task.id))
+                if (task.failures >=
+                    active.queue.attempts
+                ) {
+                    return finish(active, StepJobOutcome.Failed(task.id), nowMillis)
+                }
             }
             RunEnd.STALLED, RunEnd.UNHEALTHY -> {
                 task.failedOn += agent
@@ -220,30 +247,6 @@
         }
     }
 
-    private fun tasksOf(agent: ProcessId): List<Pair<ActiveJob, ActiveTask>> =
-        jobs.values.flatMap { active -> active.tasks.filter { it.agent == agent }.map { active to it } }
-
-    private fun refusal(
-        active: ActiveJob,
-        nowMillis: Long,
-    ): Verdict.NotRun? {
-        val service = active.queue.service
-        val unsupported = active.job.unsupported + setOf("advice").filter { active.queue.needsAdvice }
-        if (unsupported.isNotEmpty()) {
-            val features = unsupported.sorted().joinToString()
-            return Verdict.NotRun(Reason.IMPOSSIBLE, "Jobs with these features are not served: $features.")
-        }
-        if (rooms.hasAgentOf(service)) {
-            val tooLarge = active.job.steps.firstOrNull { !rooms.canEverHold(service, it.room) }
-            if (tooLarge != null) return Verdict.NotRun(Reason.IMPOSSIBLE, "No upstream has ${tooLarge.room}.")
-        }
-        val slack = placer.latestStart(active) - nowMillis
-        val forecast = WaitForecast(backlog.waitMillis(jobs.values, active, nowMillis), slack)
-        if (policies.admission.accepts(forecast)) return null
-        val detail = "The wait of ${forecast.waitMillis.toLong()} ms exceeds the slack of ${slack.toLong()} ms."
-        return Verdict.NotRun(Reason.OVERLOADED, detail, retryAfterMillis(active, nowMillis))
-    }
-
     private fun placeAfterBatch(nowMillis: Long): List<StepJobEffect> {
         if (!isBatching) return placeAndExpire(nowMillis)
         isPlacementDue = true
@@ -252,10 +255,33 @@
 
     private fun placeAndExpire(nowMillis: Long): List<StepJobEffect> {
         isPlacementDue = false
-        val starts = placer.place(jobs.values, nowMillis)
-        return starts + expire(nowMillis)
+        ending.removeEnded(nowMillis).forEach { if (it !in jobs) ownership.close(it) }
+        val starts = placer.place(jobs.values, nowMillis) { it !in ending && ownership.mayPlace(it, nowMillis) }
+        return confirmRuns(nowMillis) + starts + stopUnconfirmed(nowMillis) + expire(nowMillis)
     }
 
+    /** Tells the agents of runs that were ordered unconfirmed that their jobs are confirmed now. */
+    private fun confirmRuns(nowMillis: Long): List<StepJobEffect.ConfirmRuns> =
+        jobs.values
+            .filter { active -> active.tasks.any { it.needsConfirmation } }
+            .filter { ownership.confirmWithinMillis(it.job.id, nowMillis) == null }
+            .flatMap { active ->
+                active.tasks.forEach { it.needsConfirmation = false }
+                active.tasks
+                    .mapNotNull { it.agent }
+                    .distinct()
+                    .map { StepJobEffect.ConfirmRuns(it, active.job.id) }
+            }
+
+    /** Stops the runs of jobs that callers may have submitted to another entry meanwhile; their tasks wait again. */
+    private fun stopUnconfirmed(nowMillis: Long): List<StepJobEffect.Stop> =
+        jobs.values.filter { ownership.mustStop(it.job.id, nowMillis) }.flatMap { active ->
+            active.tasks.filter { !it.isStopRequested }.mapNotNull { task ->
+                task.isStopRequested = true
+                task.agent?.let { StepJobEffect.Stop(it, task.run) }
+            }
+        }
+
     private fun expire(nowMillis: Long): List<StepJobEffect> {
         val canOthersBeInTime by lazy { jobs.values.any { !it.hasStarted && placer.latestStart(it) >= nowMillis } }
         return jobs.values.toList().flatMap { active ->
@@ -282,37 +308,29 @@
         reason: Reason,
         detail: String,
         nowMillis: Long,
-    ): List<StepJobEffect> = finish(active, StepJobOutcome.GivenUp(verdictOf(active, reason, detail, nowMillis)))
-
-    private fun verdictOf(
-        active: ActiveJob,
-        reason: Reason,
-        detail: String,
-        nowMillis: Long,
-    ): Verdict =
-        if (active.hasStarted) {
-            Verdict.MayHaveRun(reason, detail)
-        } else {
-            Verdict.NotRun(reason, detail, retryAfterMillis(active, nowMillis))
-        }
-
-    private fun retryAfterMillis(
-        active: ActiveJob,
-        nowMillis: Long,
-    ): Long =
-        ceil(backlog.waitMillis(jobs.values - active, active, nowMillis)).toLong().coerceIn(1, MAX_RETRY_AFTER_MILLIS)
+    ): List<StepJobEffect> =
+        finish(active, StepJobOutcome.GivenUp(verdicts.of(active, jobs.values, reason, detail, nowMillis)), nowMillis)
 
     private fun finish(
         active: ActiveJob,
         outcome: StepJobOutcome,
+        nowMillis: Long,
     ): List<StepJobEffect> {
-        jobs.remove(active.job.id)
         if (outcome == StepJobOutcome.Succeeded) answered[active.job.id] = outcome
-        return stopEffects(active) + StepJobEffect.Answer(active.job.id, outcome)
+        return remove(active, nowMillis) + StepJobEffect.Answer(active.job.id, outcome)
     }
 
-    private fun stopEffects(active: ActiveJob): List<StepJobEffect> =
-        active.tasks.mapNotNull { task -> task.agent?.let { StepJobEffect.Stop(it, task.run) } }
+    /** Removes a job; it stays owned by this entry until its runs are over. */
+    private fun remove(
+        active: ActiveJob,
+        nowMillis: Long,
+    ): List<StepJobEffect> {
+        val id = active.job.id
+        jobs.remove(id)
+        ending.add(active, nowMillis)
+        if (id !in ending) ownership.close(id)
+        return active.tasks.mapNotNull { task -> task.agent?.let { StepJobEffect.Stop(it, task.run) } }
+    }
 
     companion object {
         /**
@@ -327,6 +345,5 @@
         /** Multiple of the latency objective for which a caller that sets no limit is assumed to wait. */
         private const val PATIENCE_FACTOR = 3.0
         private const val MIN_PATIENCE_MILLIS = 1_500L
-        private const val MAX_RETRY_AFTER_MILLIS = 30_000L
     }
 }
--- a/egretlock-core/src/test/kotlin/io/egretlock/core/run/RunFixtures.kt
+++ b/egretlock-core/src/test/kotlin/io/egretlock/core/run/RunFixtures.kt
@@ -42,8 +42,10 @@
 
     fun room(cores: Int) = Room(cores * 1_000L, cores * 64L)
 
-    fun scheduler(policies: StepJobPolicies = StepJobPolicies.default(Random(1))) =
-        StepJobScheduler(AgentRooms(), policies, epochSeconds = { EPOCH_SECONDS })
+    fun scheduler(
+        policies: StepJobPolicies = StepJobPolicies.default(Random(1)),
+        ownership: JobOwnership = JobOwnership(ProcessId("entry", 1)),
+    ) = StepJobScheduler(AgentRooms(), policies, epochSeconds = { EPOCH_SECONDS }, ownership)
 
     fun run(
         job: String,
--- a/egretlock-core/src/test/kotlin/io/egretlock/core/run/RunLedgerTest.kt
+++ b/egretlock-core/src/test/kotlin/io/egretlock/core/run/RunLedgerTest.kt
@@ -49,11 +49,16 @@
         from: ProcessId = entry,
         nowMillis: Long = 0,
         ageMillis: Long = 0,
+        confirmWithinMillis: Long? = null,
     ): List<LedgerEffect> {
         val ordered = OrderedRun(0, 0, number, RunFixtures.core, 100.0)
-        return ledger.onOrder(from, RunOrder(1, JobId(job), "text", listOf(ordered)), ageMillis, nowMillis)
+        val order = RunOrder(1, JobId(job), "text", listOf(ordered), confirmWithinMillis)
+        return ledger.onOrder(from, order, ageMillis, nowMillis)
     }
 
+    private fun List<LedgerEffect>.reportedEnds() =
+        filterIsInstance<LedgerEffect.ReportEnd>().map { it.entry to it.end }
+
     private fun List<LedgerEffect>.reportedEnd() = filterIsInstance<LedgerEffect.ReportEnd>().single().end
 
     @Test
@@ -166,13 +171,39 @@
         assertTrue(ledger.tick(10 * RunLedger.STOP_RETRY_MILLIS).isEmpty())
     }
 
+    /** Guards against a second home that places a task elsewhere while the first run of it is still being stopped. */
     @Test
-    fun `a second run of a task is not started while the first is active`() {
+    fun `a second run of a task is not started while the first is active, and refused only once that is over`() {
         ready()
         order(number = 1)
-        val effects = order(number = 2, from = other)
-        assertTrue(LedgerEffect.Stop(run("a")) in effects)
-        assertEquals(RunEnd.NOT_STARTED, effects.reportedEnd())
+        ledger.onStartAnswered(run("a"), StartAnswer.STARTED, 0)
+        assertEquals(listOf(LedgerEffect.Stop(run("a"))), order(number = 2, from = other))
+        assertTrue(answerRenewal(active = listOf(ActiveRun(run("a"), 1))).isEmpty())
+        val ends = answerRenewal(ended = listOf(EndedRun(1, run("a"), RunEnd.STOPPED))).reportedEnds()
+        assertEquals(listOf(entry to RunEnd.STOPPED, other to RunEnd.NOT_STARTED), ends)
+    }
+
+    @Test
+    fun `a run that was refused because of another one is reported at once if its home stops it`() {
+        ready()
+        order(number = 2)
+        assertTrue(order(number = 1, from = other).isEmpty())
+        val ends = ledger.onStopRequested(run("a", number = 1), 0).reportedEnds()
+        assertEquals(listOf(other to RunEnd.NOT_STARTED), ends)
+        assertTrue(ledger.onStopRequested(run("a", number = 1), 0).isEmpty())
+    }
+
+    /** Guards against runs of an entry that stands still before the other entries have confirmed its job. */
+    @Test
+    fun `a run that is not confirmed in time is stopped, a confirmed one goes on`() {
+        ready()
+        order("a", confirmWithinMillis = 500)
+        order("b", confirmWithinMillis = 500)
+        listOf("a", "b").forEach { ledger.onStartAnswered(run(it), StartAnswer.STARTED, 0) }
+        ledger.runs.confirm(entry, JobId("a"))
+        ledger.runs.confirm(other, JobId("b"))
+        assertTrue(ledger.tick(499).isEmpty())
+        assertEquals(listOf(LedgerEffect.Stop(run("b"))), ledger.tick(500))
     }
 
     @Test
--- a/egretlock-core/src/test/kotlin/io/egretlock/core/run/StepJobSchedulerTest.kt
+++ b/egretlock-core/src/test/kotlin/io/egretlock/core/run/StepJobSchedulerTest.kt
@@ -301,4 +301,63 @@
         val starts = scheduler.onAgentReported(first, ownDomain, report(2), seenSequence = 1, nowMillis = 7).starts()
         assertEquals(JobId("b"), starts.single().order.job)
     }
+
+    /** Guards against two runs at a time of a job that is repeated while the runs of its first attempt are being stopped. */
+    @Test
+    fun `a job that comes again is placed only when the runs of its earlier attempt are over`() {
+        connect(first, 10)
+        connect(second, 10)
+        val ordered = scheduler.submit(job("a"), queue(), 1_500, 0).starts().single()
+        scheduler.abandon(JobId("a"), 10)
+        assertTrue(scheduler.submit(job("a"), queue(), 1_500, 20).starts().isEmpty())
+        val effects = scheduler.onRunEnded(ordered.agent, run("a"), RunEnd.STOPPED, 20.0, 30)
+        assertEquals(1, effects.starts().size)
+    }
+
+    @Test
+    fun `a job that comes again waits as long as runs of its earlier attempt may go on at a lost agent`() {
+        connect(first, 10)
+        scheduler.submit(job("a"), queue(), 1_500, 0)
+        scheduler.abandon(JobId("a"), 10)
+        scheduler.onAgentLost(first, 20, hasReconnected = true)
+        connect(second, 10, nowMillis = 20)
+        assertTrue(scheduler.submit(job("a"), queue(targetMillis = 5_000), 5_000, 30).starts().isEmpty())
+        assertTrue(scheduler.tick(20 + StepJobScheduler.RUNS_ENDED_AFTER_MILLIS - 1).starts().isEmpty())
+        assertEquals(1, scheduler.tick(20 + StepJobScheduler.RUNS_ENDED_AFTER_MILLIS).starts().size)
+    }
+
+    /** Guards against a first home that works on while a caller may have submitted the job to another entry. */
+    @Test
+    fun `runs without confirmation are stopped and started again once the other entry has confirmed the job`() {
+        val ownership = JobOwnership(ProcessId("entry", 1))
+        val scheduler = RunFixtures.scheduler(ownership = ownership)
+        val other = ProcessId("other", 1)
+        ownership.updateReachable(setOf(other), -OwnershipTiming.DOUBT_MILLIS)
+        scheduler.onAgentReported(first, ownDomain, report(10), seenSequence = 0, nowMillis = 0)
+        val started = scheduler.submit(job("a", estimatedMillis = 5_000), queue(), 20_000, 0).starts().single()
+        val limit = OwnershipTiming().confirmedFromMillis
+        assertEquals(limit, started.order.confirmWithinMillis)
+        assertEquals(listOf(StepJobEffect.Stop(first, run("a"))), scheduler.tick(limit).stops())
+        assertTrue(scheduler.onRunEnded(first, run("a"), RunEnd.STOPPED, 700.0, limit + 50).starts().isEmpty())
+        val announcement = checkNotNull(ownership.nextAnnouncement({ JobRuns.NONE }, limit + 60))
+        ownership.onConfirmed(other, announcement.round, kept = emptyList(), limit + 70)
+        val again = scheduler.onOwnershipChanged(limit + 70).starts().single()
+        assertEquals(null, again.order.confirmWithinMillis)
+    }
+
+    @Test
+    fun `agents are told once a job is confirmed whose runs were ordered before`() {
+        val ownership = JobOwnership(ProcessId("entry", 1))
+        val scheduler = RunFixtures.scheduler(ownership = ownership)
+        val other = ProcessId("other", 1)
+        ownership.updateReachable(setOf(other), -OwnershipTiming.DOUBT_MILLIS)
+        scheduler.onAgentReported(first, ownDomain, report(10), seenSequence = 0, nowMillis = 0)
+        scheduler.submit(job("a", tasks = 2, estimatedMillis = 5_000), queue(), 20_000, 0)
+        val announcedAt = OwnershipTiming().announcedFromMillis
+        val announcement = checkNotNull(ownership.nextAnnouncement({ JobRuns.ACTIVE }, announcedAt))
+        ownership.onConfirmed(other, announcement.round, kept = emptyList(), announcedAt + 2)
+        val confirmation = StepJobEffect.ConfirmRuns(first, JobId("a"))
+        assertEquals(listOf(confirmation), scheduler.onOwnershipChanged(announcedAt + 2))
+        assertTrue(scheduler.tick(10_000).stops().isEmpty())
+    }
 }
--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/run/EntryPeers.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/run/EntryPeers.kt
@@ -11,16 +11,14 @@
 import io.egretlock.protocol.Message
 import io.egretlock.protocol.RunEntryHello
 import io.egretlock.sockets.EventLoop
-import io.github.oshai.kotlinlogging.KotlinLogging
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
-
-private val logger = KotlinLogging.logger {}
+import kotlinx.coroutines.withTimeoutOrNull
 
 /**
  * Connections to the other entries. They carry the version of the configuration and, on request, its document, so that
- * an entry that can't reach the store gets the configuration from the others.
+ * an entry that can't reach the store gets the configuration from the others. All other messages are passed to [tell].
  */
 internal class EntryPeers(
     private val identity: ProcessId,
@@ -29,6 +27,7 @@
     private val configuration: ConfigurationTracker,
     private val loop: EventLoop,
     private val scope: CoroutineScope,
+    private val tell: (RunEntryInput) -> Unit,
 ) {
     private val dialedAddresses = HashSet<NodeAddress>()
     private val links = HashSet<Link>()
@@ -54,10 +53,13 @@
     /** Sends the version of the current configuration to all connected entries. */
     fun announceVersion() = links.forEach { it.send(version()) }
 
-    /** Serves a connection that another entry opened and whose hello was read, until it ends. */
-    suspend fun serve(link: Link) {
+    /** Serves a connection that another entry opened with [hello], until it ends. */
+    suspend fun serve(
+        link: Link,
+        hello: RunEntryHello,
+    ) {
         link.send(hello())
-        receiveMessages(link)
+        receiveMessages(link, hello)
     }
 
     private suspend fun keepConnected(other: NodeAddress) {
@@ -72,22 +74,30 @@
     private suspend fun connectOnce(other: NodeAddress): Boolean {
         val link = Link.dialOrNull(other, loop, scope, TIMING) ?: return false
         link.send(hello())
-        receiveMessages(link)
-        return true
+        val hello = withTimeoutOrNull(TIMING.connectMillis) { link.incoming.receiveCatching().getOrNull() }
+        if (hello is RunEntryHello) receiveMessages(link, hello) else link.close()
+        return hello is RunEntryHello
     }
 
-    private suspend fun receiveMessages(link: Link) {
+    private suspend fun receiveMessages(
+        link: Link,
+        hello: RunEntryHello,
+    ) {
+        connect(hello.entries)
         links += link
+        tell(RunEntryInput.PeerConnected(hello.entry, link))
         link.send(version())
         try {
-            for (message in link.incoming) onMessage(link, message)
+            for (message in link.incoming) onMessage(hello.entry, link, message)
         } finally {
             links -= link
+            tell(RunEntryInput.PeerLost(hello.entry, link))
             link.close()
         }
     }
 
     private fun onMessage(
+        entry: ProcessId,
         link: Link,
         message: Message,
     ) {
@@ -96,7 +106,7 @@
             is ConfigurationVersion -> if (message.version > ownVersion()) requestDocument(link, message.version)
             ConfigurationRequest -> sendDocument(link)
             is ConfigurationDocument -> configuration.offer(message.document, "entry")
-            else -> logger.debug { "Ignored a message that entries do not handle on peer connections: $message" }
+            else -> tell(RunEntryInput.PeerMessage(entry, message))
         }
     }
 
--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/run/RunEntryEvent.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/run/RunEntryEvent.kt
@@ -16,6 +16,8 @@
     AGENT_CONNECTED(1510, Level.INFO, "Agent connected."),
     AGENT_LOST(1511, Level.WARN, "The connection to an agent ended."),
     AGENT_CHANGED(1512, Level.INFO, "An agent's upstream changed."),
+    ENTRIES_CHANGED(1513, Level.INFO, "The set of other entries that must confirm jobs changed."),
+    STOOD_STILL(1514, Level.WARN, "This process stood still, or the wall clock was set."),
     DIRECTORY_OUTAGE(1520, Level.WARN, "The store could not be reached for the list of entries."),
     DIRECTORY_RECOVERED(1521, Level.INFO, "The store is reached again for the list of entries."),
     CONFIGURATION_APPLIED(1530, Level.INFO, "A version of the configuration was applied."),
@@ -33,5 +35,12 @@
     RUN_ENDED(1544, Level.INFO, "A run ended."),
     JOB_ANSWERED(1545, Level.INFO, "A job was answered."),
     JOB_ABANDONED(1546, Level.INFO, "All callers of a job disconnected; the job ends."),
+    JOB_JOINED(
+        1547,
+        Level.INFO,
+        "A job that another entry works on was submitted here; the callers wait for its answer.",
+    ),
+    JOB_YIELDED(1548, Level.WARN, "A job is given up here, since another entry works on it."),
+    JOIN_ENDED(1549, Level.INFO, "A job that another entry worked on is started here."),
     COROUTINE_FAILED(1550, Level.ERROR, "A coroutine that the entry cannot do without failed; the process ends."),
 }
--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/run/RunEntryInput.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/run/RunEntryInput.kt
@@ -1,6 +1,7 @@
 package io.egretlock.entry.run
 
 import io.egretlock.core.job.JobId
+import io.egretlock.core.job.ProcessId
 import io.egretlock.core.run.JobQueue
 import io.egretlock.core.run.StepJob
 import io.egretlock.core.run.StepJobOutcome
@@ -41,6 +42,22 @@
         val link: Link,
     ) : RunEntryInput
 
+    /** A direct connection to another entry is open. */
+    data class PeerConnected(
+        val entry: ProcessId,
+        val link: Link,
+    ) : RunEntryInput
+
+    data class PeerMessage(
+        val entry: ProcessId,
+        val message: Message,
+    ) : RunEntryInput
+
+    data class PeerLost(
+        val entry: ProcessId,
+        val link: Link,
+    ) : RunEntryInput
+
     data class QueuesChanged(
         val names: Set<String>,
     ) : RunEntryInput
--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/run/RunEntryProcess.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/run/RunEntryProcess.kt
@@ -4,6 +4,7 @@
 import io.egretlock.core.job.ProcessId
 import io.egretlock.core.roster.NodeAddress
 import io.egretlock.core.run.JobQueue
+import io.egretlock.core.run.OwnershipTiming
 import io.egretlock.core.run.QueueConfiguration
 import io.egretlock.core.run.StepJob
 import io.egretlock.core.run.StepJobOutcome
@@ -44,7 +45,14 @@
     private val scope = CoroutineScope(SupervisorJob() + loop)
     private val identity = ProcessId(settings.nodeName, System.currentTimeMillis())
     private val address = NodeAddress(settings.host, settings.firstPort)
-    private val entry = RunEntry(StepJobPolicies.default(Random.Default), ::nowMillis, ::epochSeconds)
+    private val entry =
+        RunEntry(
+            identity,
+            StepJobPolicies.default(Random.Default),
+            ::nowMillis,
+            System::currentTimeMillis,
+            OwnershipTiming(settings.repeatMillis),
+        )
     private val store = createStore(DIRECTORY_WATCH_MILLIS)
     private val directory = EntryDirectory(store, store)
     private val tracker =
@@ -55,7 +63,7 @@
         ) { configuration, _ ->
             onConfigurationApplied(configuration)
         }
-    private val peers = EntryPeers(identity, settings.failureDomain, address, tracker, loop, scope)
+    private val peers = EntryPeers(identity, settings.failureDomain, address, tracker, loop, scope, entry::tell)
     private val drain = EntryDrain(::nowMillis)
     private var isDirectoryDown = false
 
@@ -125,10 +133,7 @@
     private suspend fun serve(link: Link) {
         when (val hello = link.incoming.receiveCatching().getOrNull()) {
             is RunAgentHello -> serveAgent(hello, link)
-            is RunEntryHello -> {
-                peers.connect(hello.entries)
-                peers.serve(link)
-            }
+            is RunEntryHello -> peers.serve(link, hello)
             else -> link.close()
         }
     }
@@ -171,11 +176,8 @@
 
     private fun nowMillis(): Long = System.nanoTime() / NANOS_PER_MILLI
 
-    private fun epochSeconds(): Int = (System.currentTimeMillis() / MILLIS_PER_SECOND).toInt()
-
     private companion object {
         const val NANOS_PER_MILLI = 1_000_000L
-        const val MILLIS_PER_SECOND = 1_000L
         const val POLL_MILLIS = 20L
         const val STORE_RETRY_MILLIS = 500L
 
--- a/egretlock-entry/src/test/kotlin/io/egretlock/entry/run/RunEntryTest.kt
+++ b/egretlock-entry/src/test/kotlin/io/egretlock/entry/run/RunEntryTest.kt
@@ -50,7 +50,7 @@
     @Test
     fun `given a waiting job, when others arrive at the instant of a tick, then each is held`() =
         runTest {
-            val entry = RunEntry(StepJobPolicies.default(Random(1)), { currentTime }, { 1_700_000_000 })
+            val entry = RunEntry(IDENTITY, StepJobPolicies.default(Random(1)), { currentTime }, { currentTime })
             repeat(INSTANTS) { instant ->
                 launch {
                     delay(instant * RunEntry.TICK_MILLIS)
@@ -66,7 +66,7 @@
     fun `given an agent that reconnects, when its old connection is silent, then its runs start again`() =
         runBlocking {
             val now = AtomicLong()
-            val entry = RunEntry(StepJobPolicies.default(Random(1)), now::get, { 1_700_000_000 })
+            val entry = RunEntry(IDENTITY, StepJobPolicies.default(Random(1)), now::get, now::get)
             withAgentLinks(entry) { connect ->
                 val old = connect()
                 entry.tell(submitted("a"))
@@ -74,8 +74,11 @@
                 val new = connect()
                 entry.tell(submitted("b"))
                 assertEquals(listOf(1), new.nextNumbers())
-                now.addAndGet(StepJobScheduler.RUNS_ENDED_AFTER_MILLIS)
+                val restartAt = now.get() + StepJobScheduler.RUNS_ENDED_AFTER_MILLIS
+                val clock = launch { advanceGradually(now) }
                 assertEquals(listOf(2), new.nextNumbers())
+                assertTrue(now.get() >= restartAt)
+                clock.cancel()
             }
         }
 
@@ -83,7 +86,7 @@
     @Test
     fun `given an agent whose heartbeats arrive, when runs are ordered, then the order names the last of them`() =
         runBlocking {
-            val entry = RunEntry(StepJobPolicies.default(Random(1)), { 0 }, { 1_700_000_000 })
+            val entry = RunEntry(IDENTITY, StepJobPolicies.default(Random(1)), { 0 }, { 0 })
             withAgentLinks(entry) { connect ->
                 val agentEnd = connect()
                 var heard = 0L
@@ -98,6 +101,14 @@
             }
         }
 
+    /** Lets the time pass in steps that are no standstill. */
+    private suspend fun advanceGradually(now: AtomicLong): Nothing {
+        while (true) {
+            now.addAndGet(RunEntry.TICK_MILLIS)
+            delay(RunEntry.TICK_MILLIS)
+        }
+    }
+
     /** Passes [body] a function that connects one and the same agent to [entry] and returns the agent's end. */
     private suspend fun withAgentLinks(
         entry: RunEntry,
@@ -130,6 +141,7 @@
     private suspend fun Link.nextNumbers(): List<Int> = (incoming.receive() as StartRuns).order.runs.map { it.number }
 
     private companion object {
+        val IDENTITY = ProcessId("entry", 1)
         const val INSTANTS = 10
         const val DEADLINE_MILLIS = 60_000L
 
--- a/egretlock-protocol/src/main/kotlin/io/egretlock/protocol/RunMessages.kt
+++ b/egretlock-protocol/src/main/kotlin/io/egretlock/protocol/RunMessages.kt
@@ -1,6 +1,7 @@
 package io.egretlock.protocol
 
 import io.egretlock.core.job.FailureDomain
+import io.egretlock.core.job.JobId
 import io.egretlock.core.job.ProcessId
 import io.egretlock.core.roster.NodeAddress
 import io.egretlock.core.run.RunEnd
@@ -63,6 +64,13 @@
     val run: RunId,
 ) : Message
 
+/** Tells an agent that no other entry works on [job], so that the runs ordered by the sender may go on. */
+@Serializable
+@SerialName("confirm-runs")
+data class ConfirmRuns(
+    val job: JobId,
+) : Message
+
 /** Reports to the home of a run how it ended, after [runMillis]. */
 @Serializable
 @SerialName("run-ended")
--- a/egretlock-testing/src/test/kotlin/io/egretlock/testing/platform/PlatformPathTest.kt
+++ b/egretlock-testing/src/test/kotlin/io/egretlock/testing/platform/PlatformPathTest.kt
@@ -148,7 +148,31 @@
         }
     }
 
+    /** Guards against an entry that wakes from a standstill and places a job that another entry has got meanwhile. */
+    @Test
+    fun `given a job at work, when its entry stands still and another gets it, then no task runs twice at a time`() {
+        platform = PlatformStandIn(taskMillis = 7_500, entryCount = 3, agentCount = 8)
+        runBlocking {
+            platform.start()
+            val first = async { platform.submit(id(1), tasks = 1, entry = platform.entries.first()) }
+            platform.awaitUntil { platform.runMonitor.started.isNotEmpty() }
+            delay(RESEND_MILLIS)
+            val node = platform.entries.first().node
+            node.signal(ProcessSignal.STOP)
+            delay(KEEP_ALIVE_MILLIS + RESEND_MILLIS)
+            val second = async { platform.submit(id(1), tasks = 1, entry = platform.entries.last()) }
+            platform.awaitUntil { platform.runMonitor.started.size > 1 }
+            node.signal(ProcessSignal.CONT)
+            assertEquals("""{"state":"completed"}""", second.await()?.body)
+            first.await()
+            assertEquals(emptyList<String>(), platform.runMonitor.overlaps)
+        }
+    }
+
     private companion object {
+        /** Time after which a caller with keep-alive probes of a second notices that its connection is dead. */
+        const val KEEP_ALIVE_MILLIS = 2_500L
+
         /** Time after which callers submit a job again that got no answer. */
         const val RESEND_MILLIS = 1_300L
         const val HTTP_OK = 200
