Let only the incarnation that a start is meant for carry it out

Cause: a start's deadline is a time of the upstream's clock, which starts anew with each incarnation, and the fencing token protects an incarnation only after the agent's first call. Nothing else voided the start.

Ruled out: a run that is taken for over too early (its stop was acknowledged and listed).

Change: a start names the incarnation that it is meant for, once a heartbeat has shown its name; another one refuses it, and the run has not started.

--- a/egretlock-agent/src/main/kotlin/io/egretlock/agent/run/RunAgent.kt
+++ b/egretlock-agent/src/main/kotlin/io/egretlock/agent/run/RunAgent.kt
@@ -275,7 +275,8 @@
         val token = fence.value
         scope.launch {
             val isDue = { ledger.isStartDue(effect.run, nowMillis()) }
-            val answer = orders.start(effect.run, effect.specification, effect.deadlineClockMillis, token, isDue)
+            val deadline = effect.deadlineClockMillis
+            val answer = orders.start(effect.run, effect.specification, deadline, token, effect.upstream, isDue)
             tell(RunAgentInput.StartAnswered(effect.run, answer, token))
         }
     }
--- a/egretlock-agent/src/test/kotlin/io/egretlock/agent/run/RunAgentTest.kt
+++ b/egretlock-agent/src/test/kotlin/io/egretlock/agent/run/RunAgentTest.kt
@@ -271,6 +271,7 @@
             specification: String,
             deadlineClockMillis: Long,
             fencingToken: Long,
+            upstream: String?,
             isDue: () -> Boolean,
         ): StartAnswer {
             waitingStart.complete(isDue)
@@ -303,6 +304,7 @@
             specification: String,
             deadlineClockMillis: Long,
             fencingToken: Long,
+            upstream: String?,
             isDue: () -> Boolean,
         ): StartAnswer = error("Nothing is ordered.")
 
@@ -356,6 +358,7 @@
             specification: String,
             deadlineClockMillis: Long,
             fencingToken: Long,
+            upstream: String?,
             isDue: () -> Boolean,
         ): StartAnswer {
             startCalled.complete(Unit)
--- a/egretlock-core/src/main/kotlin/io/egretlock/core/run/LedgerEffect.kt
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/run/LedgerEffect.kt
@@ -4,11 +4,15 @@
 
 /** Action that a [RunLedger] requests from its agent. */
 sealed interface LedgerEffect {
-    /** Order the upstream to start [run]; the upstream refuses it after [deadlineClockMillis] of its own clock. */
+    /**
+     * Order the upstream to start [run]; the upstream refuses it after [deadlineClockMillis] of its own clock. [upstream]
+     * names the incarnation that it is meant for; null if its name is not known.
+     */
     data class Start(
         val run: RunId,
         val specification: String,
         val deadlineClockMillis: Long,
+        val upstream: String?,
     ) : LedgerEffect
 
     /** Order the upstream to stop [run]. */
--- a/egretlock-core/src/main/kotlin/io/egretlock/core/run/RunLedger.kt
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/run/RunLedger.kt
@@ -181,7 +181,9 @@
             StartAnswer.NUMBER_USED ->
                 finish(run, run.stopReason ?: RunEnd.NUMBER_USED, EndCause.START_REFUSED, nowMillis)
             StartAnswer.UNHEALTHY -> finish(run, RunEnd.UNHEALTHY, EndCause.START_REFUSED, nowMillis)
-            StartAnswer.TOO_LATE, StartAnswer.NO_ROOM, StartAnswer.FENCED, StartAnswer.REFUSED ->
+            StartAnswer.TOO_LATE, StartAnswer.NO_ROOM, StartAnswer.FENCED, StartAnswer.OTHER_INCARNATION,
+            StartAnswer.REFUSED,
+            ->
                 finish(run, RunEnd.NOT_STARTED, EndCause.START_REFUSED, nowMillis)
             StartAnswer.NOT_SENT ->
                 finish(run, run.stopReason ?: RunEnd.NOT_STARTED, EndCause.START_NOT_SENT, nowMillis)
@@ -257,7 +259,7 @@
         }
         val confirmUntil = order.confirmWithinMillis?.let { nowMillis + it }
         runs.add(LedgerRun(id, entry, ordered, nowMillis, upstream.currentStartedAtMillis, confirmUntil))
-        return listOf(LedgerEffect.Start(id, order.specification, deadline))
+        return listOf(LedgerEffect.Start(id, order.specification, deadline, upstream.currentName))
     }
 
     /**
--- a/egretlock-core/src/main/kotlin/io/egretlock/core/run/UpstreamAnswers.kt
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/run/UpstreamAnswers.kt
@@ -40,6 +40,9 @@
     /** The upstream is unhealthy and has not started the run. */
     UNHEALTHY,
 
+    /** The order was meant for another incarnation of the upstream; this one has not started the run. */
+    OTHER_INCARNATION,
+
     /** The order was refused for another reason; the run has not started. */
     REFUSED,
 
--- a/egretlock-core/src/main/kotlin/io/egretlock/core/run/UpstreamOrders.kt
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/run/UpstreamOrders.kt
@@ -7,13 +7,15 @@
     /**
      * Orders a run to start; the upstream refuses if the order arrives after [deadlineClockMillis] of its clock. That
      * does not protect against a late arrival in the upstream's next incarnation, whose clock starts anew. So the order
-     * may wait for a connection, but is sent only if [isDue] still holds.
+     * names the incarnation [upstream] that it is meant for, if its name is known, and although it may wait for a
+     * connection, it is sent only if [isDue] still holds.
      */
     suspend fun start(
         run: RunId,
         specification: String,
         deadlineClockMillis: Long,
         fencingToken: Long,
+        upstream: String?,
         isDue: () -> Boolean,
     ): StartAnswer
 
--- a/egretlock-core/src/main/kotlin/io/egretlock/core/run/UpstreamView.kt
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/run/UpstreamView.kt
@@ -20,6 +20,10 @@
     /** Last heartbeat; null if none was received or if the upstream has announced its end. */
     var status: UpstreamStatus? = null
 
+    /** Name of the current incarnation; null until its heartbeat has shown it. */
+    val currentName: String?
+        get() = status?.incarnation?.takeIf { it.startedAtMillis == currentStartedAtMillis }?.name
+
     /**
      * Whether the upstream can't be expected to answer an order: it has refused a connection since its last answer, or
      * left a renewal and its repetition unanswered.
--- a/egretlock-core/src/test/kotlin/io/egretlock/core/run/RunLedgerTest.kt
+++ b/egretlock-core/src/test/kotlin/io/egretlock/core/run/RunLedgerTest.kt
@@ -116,6 +116,22 @@
         assertEquals(clock + RunLedger.LEASE_MILLIS, start.deadlineClockMillis)
     }
 
+    @Test
+    fun `an order names the incarnation that it is meant for once its heartbeat has shown the name`() {
+        ready()
+        assertEquals("u", (order("a").single() as LedgerEffect.Start).upstream)
+        answerRenewal(startedAt = 9, clockMillis = 3)
+        assertNull((order("b").single() as LedgerEffect.Start).upstream)
+    }
+
+    @Test
+    fun `a start that another incarnation refused has not started`() {
+        ready()
+        order()
+        val effects = ledger.onStartAnswered(run("a"), StartAnswer.OTHER_INCARNATION, 10)
+        assertEquals(RunEnd.NOT_STARTED, effects.reportedEnd())
+    }
+
     @Test
     fun `an unanswered start is stopped, and its end is reported only once the upstream shows that it is over`() {
         ready()
