Pass a cancel on to the entry that works on the job

Cause: an entry knew only its own jobs.

Change: since entries announce their older jobs to each other, a cancel of an announced job is passed on to its owner in one message. A query of an announced job is answered as running.

The new case of RunEntryTest needs the messages of this change.

--- a/egretlock-core/src/main/kotlin/io/egretlock/core/run/StepJobService.kt
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/run/StepJobService.kt
@@ -25,12 +25,15 @@
         patienceMillis: Long?,
     ): StepJobOutcome
 
-    /** Returns whether any run of [job] was ordered; null if the job is not active here. */
+    /** Returns whether any run of [job] was ordered; null if the job is not active, here or at another entry. */
     fun hasStarted(job: JobId): Boolean?
 
     /** Returns the number of jobs of [queue] that are active here and of which no run was ordered yet. */
     fun waitingCount(queue: String): Int
 
-    /** Cancels a job that is active here; returns false if it is not. */
+    /**
+     * Cancels a job that is active here or at another entry; returns false if none is known. A job of another entry that
+     * becomes known soon after is cancelled too.
+     */
     fun cancel(job: JobId): Boolean
 }
--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/run/RunEntry.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/run/RunEntry.kt
@@ -14,6 +14,7 @@
 import io.egretlock.core.run.StepJobPolicies
 import io.egretlock.core.run.StepJobScheduler
 import io.egretlock.process.event
+import io.egretlock.protocol.CancelJob
 import io.egretlock.protocol.ConfirmRuns
 import io.egretlock.protocol.ConnectedEntries
 import io.egretlock.protocol.JobsAnnounced
@@ -57,6 +58,7 @@
     private val exchange = OwnershipExchange(ownership, StandstillDetector(nowMillis, wallMillis))
     private val scheduler = StepJobScheduler(rooms, policies, { (wallMillis() / MILLIS_PER_SECOND).toInt() }, ownership)
     private val joinedJobs = JoinedJobs()
+    private val cancelledJobs = CancelledJobs()
     private val links = HashMap<ProcessId, Link>()
     private val agents = HashMap<Link, RunAgentHello>()
 
@@ -93,8 +95,9 @@
         }
     }
 
-    /** Whether [job] has started; null if no caller of this entry waits for it. */
-    fun hasStarted(job: JobId): Boolean? = scheduler.find(job)?.hasStarted ?: joinedJobs[job]?.let { true }
+    /** Whether [job] has started; null if neither this nor another entry is known to work on it. */
+    fun hasStarted(job: JobId): Boolean? =
+        scheduler.find(job)?.hasStarted ?: ownership.ownerOf(job, nowMillis())?.let { true }
 
     /** Number of jobs of [queue] that have not started. */
     fun waitingCount(queue: String): Int = scheduler.waitingCount(queue)
@@ -137,7 +140,7 @@
         when (input) {
             is RunEntryInput.Submitted -> onSubmitted(input, now)
             is RunEntryInput.CallerLeft -> onCallerLeft(input, now)
-            is RunEntryInput.Cancelled -> perform(scheduler.cancel(input.job, now))
+            is RunEntryInput.Cancelled -> onCancelled(input.job, now)
             is RunEntryInput.AgentConnected -> onConnected(input, now)
             is RunEntryInput.AgentMessage -> onMessage(input, now)
             is RunEntryInput.AgentLost -> onDisconnected(input.link, now)
@@ -189,6 +192,18 @@
         abandonIfUnwanted(input.job, now)
     }
 
+    private fun onCancelled(
+        job: JobId,
+        now: Long,
+    ) {
+        val owner = ownership.ownerOf(job, now)
+        when {
+            scheduler.find(job) != null -> perform(scheduler.cancel(job, now))
+            owner != null -> exchange.send(owner, CancelJob(job))
+            else -> cancelledJobs.add(job, now)
+        }
+    }
+
     /** Stops a job that no caller waits for, here or at another entry. */
     private fun abandonIfUnwanted(
         job: JobId,
@@ -261,7 +276,9 @@
             is JobsAnnounced -> {
                 val yielded = exchange.onAnnounced(entry, message, { scheduler.runsOf(it, now) }, now)
                 yielded.forEach { yieldTo(entry, it, now) }
+                cancelledJobs.among(message.owned.jobs, now).forEach { exchange.send(entry, CancelJob(it)) }
             }
+            is CancelJob -> perform(scheduler.cancel(message.job, now))
             is JobsConfirmed -> {
                 exchange.onConfirmed(entry, message, now).forEach { yieldTo(entry, it, now) }
                 perform(scheduler.onOwnershipChanged(now))
--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/run/RunEntryProcess.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/run/RunEntryProcess.kt
@@ -125,9 +125,8 @@
     override fun waitingCount(queue: String): Int = entry.waitingCount(queue)
 
     override fun cancel(job: JobId): Boolean {
-        if (hasStarted(job) == null) return false
         entry.tell(RunEntryInput.Cancelled(job))
-        return true
+        return hasStarted(job) != null
     }
 
     private suspend fun serve(link: Link) {
--- a/egretlock-entry/src/test/kotlin/io/egretlock/entry/run/RunEntryTest.kt
+++ b/egretlock-entry/src/test/kotlin/io/egretlock/entry/run/RunEntryTest.kt
@@ -7,14 +7,22 @@
 import io.egretlock.core.roster.NodeAddress
 import io.egretlock.core.run.JobQueue
 import io.egretlock.core.run.JobStep
+import io.egretlock.core.run.OwnedJobs
 import io.egretlock.core.run.Room
 import io.egretlock.core.run.StepJob
+import io.egretlock.core.run.StepJobOutcome
 import io.egretlock.core.run.StepJobPolicies
 import io.egretlock.core.run.StepJobScheduler
 import io.egretlock.core.run.UpstreamReport
+import io.egretlock.protocol.CancelJob
+import io.egretlock.protocol.JobsAnnounced
+import io.egretlock.protocol.JoinJob
+import io.egretlock.protocol.JoinedJobEnded
+import io.egretlock.protocol.LeaveJob
 import io.egretlock.protocol.Link
 import io.egretlock.protocol.LinkListener
 import io.egretlock.protocol.LinkTiming
+import io.egretlock.protocol.Message
 import io.egretlock.protocol.RunAgentHello
 import io.egretlock.protocol.StartRuns
 import io.egretlock.protocol.UpstreamReported
@@ -42,11 +50,16 @@
 class RunEntryTest {
     private val queue = JobQueue("checks", ServiceName("s"), 0, attempts = 2, slackFactor = 1.6, targetMillis = 1_000)
 
-    private fun submitted(id: String): RunEntryInput {
+    private fun submitted(
+        id: String,
+        answer: CompletableDeferred<StepJobOutcome> = CompletableDeferred(),
+    ): RunEntryInput {
         val job = StepJob(JobId(id), "specification", listOf(JobStep(1, Room(1_000, 64), estimatedRunMillis = 50)))
-        return RunEntryInput.Submitted(job, queue, patienceMillis = null, CompletableDeferred())
+        return RunEntryInput.Submitted(job, queue, patienceMillis = null, answer)
     }
 
+    private fun announced(vararg jobs: String) = JobsAnnounced(OwnedJobs(1, jobs.map { JobId(it) }))
+
     @Test
     fun `given a waiting job, when others arrive at the instant of a tick, then each is held`() =
         runTest {
@@ -101,6 +114,69 @@
             }
         }
 
+    /** Guards against two entries that work on one job, see `JobOwnershipTest`. */
+    @Test
+    fun `given a job of another entry, when it comes here, then its callers get the answer of that entry`() =
+        runBlocking {
+            withPeer { entry, peerEnd ->
+                entry.tell(RunEntryInput.PeerMessage(PEER, announced("a")))
+                val answer = CompletableDeferred<StepJobOutcome>()
+                entry.tell(submitted("a", answer))
+                assertEquals(JoinJob(JobId("a")), peerEnd.next<JoinJob>())
+                entry.tell(RunEntryInput.PeerMessage(PEER, JoinedJobEnded(JobId("a"), StepJobOutcome.Succeeded)))
+                assertEquals(StepJobOutcome.Succeeded, answer.await())
+                assertEquals(0, entry.activeJobCount)
+            }
+        }
+
+    @Test
+    fun `given a joined job, when its callers leave, then its owner is told`() =
+        runBlocking {
+            withPeer { entry, peerEnd ->
+                entry.tell(RunEntryInput.PeerMessage(PEER, announced("a")))
+                val answer = CompletableDeferred<StepJobOutcome>()
+                entry.tell(submitted("a", answer))
+                entry.tell(RunEntryInput.CallerLeft(JobId("a"), answer))
+                assertEquals(LeaveJob(JobId("a")), peerEnd.next<LeaveJob>())
+            }
+        }
+
+    /** Guards against a job that goes on after a cancel that reached another entry than its own. */
+    @Test
+    fun `given a job of another entry, when it is cancelled here, then its owner is told at once or with its announcement`() =
+        runBlocking {
+            withPeer { entry, peerEnd ->
+                entry.tell(RunEntryInput.Cancelled(JobId("young")))
+                entry.tell(RunEntryInput.PeerMessage(PEER, announced("a", "young")))
+                assertEquals(CancelJob(JobId("young")), peerEnd.next<CancelJob>())
+                entry.tell(RunEntryInput.Cancelled(JobId("a")))
+                assertEquals(CancelJob(JobId("a")), peerEnd.next<CancelJob>())
+            }
+        }
+
+    /** Passes [body] an entry with a connection to the entry [PEER], and the other end of that connection. */
+    private suspend fun withPeer(body: suspend (RunEntry, Link) -> Unit) =
+        coroutineScope {
+            EventLoop("test").use { loop ->
+                val accepted = Channel<Link>(Channel.UNLIMITED)
+                val scope = CoroutineScope(coroutineContext + Job())
+                val address = NodeAddress("127.0.0.1", 0)
+                val listener = LinkListener.bind(address, loop, scope, LENIENT_TIMING) { accepted.send(it) }
+                val entry = RunEntry(IDENTITY, StepJobPolicies.default(Random(1)), { 0 }, { 0 })
+                scope.launch { entry.run() }
+                withTimeout(DEADLINE_MILLIS) {
+                    val peerEnd = Link.dial(NodeAddress("127.0.0.1", listener.port), loop, scope, LENIENT_TIMING)
+                    entry.tell(RunEntryInput.PeerConnected(PEER, accepted.receive()))
+                    body(entry, peerEnd)
+                }
+                scope.cancel()
+            }
+        }
+
+    private suspend inline fun <reified T : Message> Link.next(): T {
+        while (true) (incoming.receive() as? T)?.let { return it }
+    }
+
     /** Lets the time pass in steps that are no standstill. */
     private suspend fun advanceGradually(now: AtomicLong): Nothing {
         while (true) {
@@ -142,6 +218,7 @@
 
     private companion object {
         val IDENTITY = ProcessId("entry", 1)
+        val PEER = ProcessId("peer", 1)
         const val INSTANTS = 10
         const val DEADLINE_MILLIS = 60_000L
 
--- a/egretlock-protocol/src/main/kotlin/io/egretlock/protocol/OwnershipMessages.kt
+++ b/egretlock-protocol/src/main/kotlin/io/egretlock/protocol/OwnershipMessages.kt
@@ -56,6 +56,13 @@
     val job: JobId,
 ) : Message
 
+/** Entry to the owner of [job]: the caller has cancelled it. */
+@Serializable
+@SerialName("cancel-job")
+data class CancelJob(
+    val job: JobId,
+) : Message
+
 /** Owner of [job] to an entry that has joined it: how the job ended. */
 @Serializable
 @SerialName("joined-job-ended")
