Notice a silent entry sooner, and count no work that may not be placed

Cause: a machine that is gone is noticed after 2 s on idle connections. Until then it confirms nothing, so that jobs of other entries that become 700 ms old are stopped; and these waiting jobs counted as work ahead of new ones, which were refused.

Change: an entry that leaves an announcement unanswered for 100 ms is checked: the connections to it count as busy, at this entry and at the agents that see it, and notice silence within 600 ms. The forecast of waits leaves out jobs without runs that may not be placed.

Measured: the new case of StepJobSchedulerTest fails without the second change (0 starts).

--- a/egretlock-agent/src/main/kotlin/io/egretlock/agent/run/RunAgent.kt
+++ b/egretlock-agent/src/main/kotlin/io/egretlock/agent/run/RunAgent.kt
@@ -15,6 +15,7 @@
 import io.egretlock.core.run.UpstreamOrders
 import io.egretlock.core.run.UpstreamReport
 import io.egretlock.process.event
+import io.egretlock.protocol.CheckEntry
 import io.egretlock.protocol.ConfirmRuns
 import io.egretlock.protocol.Link
 import io.egretlock.protocol.Message
@@ -148,6 +149,7 @@
             is StartRuns -> onOrdered(link, state, message, now)
             is StopRun -> perform(ledger.onStopRequested(message.run, now))
             is ConfirmRuns -> ledger.runs.confirm(state.entry, message.job)
+            is CheckEntry -> linkOf(message.entry)?.markBusy()
             is Relayed -> linkOf(message.peer)?.send(Relayed(state.entry, message.message))
             else -> logger.debug { "Ignored a message that agents do not handle: $message" }
         }
--- a/egretlock-core/src/main/kotlin/io/egretlock/core/run/ActiveJob.kt
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/run/ActiveJob.kt
@@ -26,6 +26,9 @@
     var hasStarted: Boolean = false
         internal set
 
+    internal val hasActiveRuns: Boolean
+        get() = tasks.any { it.agent != null }
+
     internal val isWaiting: Boolean
         get() = tasks.any { it.isWaiting }
 
--- a/egretlock-core/src/main/kotlin/io/egretlock/core/run/StepJobScheduler.kt
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/run/StepJobScheduler.kt
@@ -73,7 +73,9 @@
         val size = demand.record(job, queue, nowMillis)
         val patience = patienceMillis ?: (objective * PATIENCE_FACTOR).toLong().coerceAtLeast(MIN_PATIENCE_MILLIS)
         val active = ActiveJob(job, queue, nowMillis, nowMillis + objective, nowMillis + patience, size)
-        verdicts.refusal(active, jobs.values, nowMillis)?.let {
+        // Jobs that need a confirmation first take no room meanwhile.
+        val ahead = jobs.values.filter { it.hasActiveRuns || ownership.mayPlace(it.job.id, nowMillis) }
+        verdicts.refusal(active, ahead, nowMillis)?.let {
             return listOf(StepJobEffect.Answer(job.id, StepJobOutcome.GivenUp(it)))
         }
         jobs[job.id] = active
--- a/egretlock-core/src/test/kotlin/io/egretlock/core/run/StepJobSchedulerTest.kt
+++ b/egretlock-core/src/test/kotlin/io/egretlock/core/run/StepJobSchedulerTest.kt
@@ -345,6 +345,21 @@
         assertEquals(null, again.order.confirmWithinMillis)
     }
 
+    /** Guards against refusals while room is free, since jobs that may not be placed were counted as work ahead. */
+    @Test
+    fun `jobs that wait for a confirmation don't let others be refused`() {
+        val ownership = JobOwnership(ProcessId("entry", 1))
+        val scheduler = RunFixtures.scheduler(ownership = ownership)
+        ownership.updateReachable(setOf(ProcessId("other", 1)), -OwnershipTiming.DOUBT_MILLIS)
+        scheduler.onAgentReported(first, ownDomain, report(1), seenSequence = 0, nowMillis = 0)
+        scheduler.submit(job("a", estimatedMillis = 900), queue(), 20_000, 0)
+        val limit = OwnershipTiming().confirmedFromMillis
+        scheduler.tick(limit)
+        scheduler.onRunEnded(first, run("a"), RunEnd.STOPPED, 700.0, limit + 50)
+        scheduler.onAgentReported(first, ownDomain, report(1), seenSequence = 1, nowMillis = limit + 50)
+        assertEquals(1, scheduler.submit(job("b"), queue(), 20_000, limit + 60).starts().size)
+    }
+
     @Test
     fun `agents are told once a job is confirmed whose runs were ordered before`() {
         val ownership = JobOwnership(ProcessId("entry", 1))
--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/run/EntryLinks.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/run/EntryLinks.kt
@@ -1,6 +1,7 @@
 package io.egretlock.entry.run
 
 import io.egretlock.core.job.ProcessId
+import io.egretlock.protocol.CheckEntry
 import io.egretlock.protocol.Link
 import io.egretlock.protocol.Message
 import io.egretlock.protocol.Relayed
@@ -62,6 +63,15 @@
         if (!isSent || mayBeCut) relay(entry, message)
     }
 
+    /**
+     * Lets all ends of connections to [entry] find out soon whether it is silent. An idle connection notices silence
+     * late, and until then jobs wait for the answers of an entry that may be gone.
+     */
+    fun check(entry: ProcessId) {
+        direct[entry]?.forEach { it.markBusy() }
+        reportedByAgent.filterValues { entry in it }.keys.forEach { it.send(CheckEntry(entry)) }
+    }
+
     /** Sends [message] through all agents that are connected to [entry], as any single one may have lost it too. */
     private fun relay(
         entry: ProcessId,
--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/run/EntryPeers.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/run/EntryPeers.kt
@@ -136,8 +136,18 @@
     private fun ownVersion(): Long = configuration.current?.version ?: 0
 
     private companion object {
-        /** Connections to other entries carry no runs, so that a silent one may be noticed late. */
-        val TIMING = LinkTiming(heartbeatMillis = 600, silenceMillis = 2_000, connectMillis = 500)
+        /**
+         * Connections to other entries carry no runs, so that a silent one may be noticed late unless an answer is
+         * missing, see [EntryLinks.check].
+         */
+        val TIMING =
+            LinkTiming(
+                heartbeatMillis = 150,
+                silenceMillis = 600,
+                idleHeartbeatMillis = 600,
+                idleSilenceMillis = 2_000,
+                connectMillis = 500,
+            )
         const val RECONNECT_DELAY_MILLIS = 50L
         const val FAILURE_DELAY_MILLIS = 500L
 
--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/run/OwnershipExchange.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/run/OwnershipExchange.kt
@@ -86,7 +86,9 @@
     ) {
         val owned = ownership.nextAnnouncement(runsOf, nowMillis) ?: return
         for (entry in ownership.reachableEntries) {
-            links.send(entry, JobsAnnounced(owned), mayBeCut = ownership.isSilent(entry, nowMillis))
+            val isSilent = ownership.isSilent(entry, nowMillis)
+            links.send(entry, JobsAnnounced(owned), mayBeCut = isSilent)
+            if (isSilent) links.check(entry)
         }
     }
 
--- a/egretlock-protocol/src/main/kotlin/io/egretlock/protocol/OwnershipMessages.kt
+++ b/egretlock-protocol/src/main/kotlin/io/egretlock/protocol/OwnershipMessages.kt
@@ -14,6 +14,16 @@
     val entries: List<ProcessId>,
 ) : Message
 
+/**
+ * Entry to agent: [entry] has left a question unanswered, so that the agent should find out soon whether its connection to
+ * that entry is silent.
+ */
+@Serializable
+@SerialName("check-entry")
+data class CheckEntry(
+    val entry: ProcessId,
+) : Message
+
 /**
  * Transports [message] between two entries through an agent that is connected to both, since their own connection may
  * be cut.
