Keep an agent's upstream when another one's heartbeat arrives

Cause: an agent took each heartbeat for its own upstream's and ordered them by the start time that the sender gave.

Ruled out: comparing the address with the settings; tried and dropped, as the case could not even start (its stand-in has the agent reach the upstream under another address).

Change: a heartbeat under another name than the incarnation that answers renewals counts only once an answer has shown its start time, and a heartbeat of the incarnation that answers replaces any other.

--- a/egretlock-core/src/main/kotlin/io/egretlock/core/run/UpstreamView.kt
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/run/UpstreamView.kt
@@ -20,6 +20,9 @@
     /** Last heartbeat; null if none was received or if the upstream has announced its end. */
     var status: UpstreamStatus? = null
 
+    /** Last heartbeat under another name of an incarnation that has not answered yet. */
+    private var successor: UpstreamStatus? = null
+
     /** Name of the current incarnation; null until its heartbeat has shown it. */
     val currentName: String?
         get() = status?.incarnation?.takeIf { it.startedAtMillis == currentStartedAtMillis }?.name
@@ -44,14 +47,21 @@
 
     /**
      * Records a heartbeat, unless it is older than the last one or from an earlier incarnation than the last answer;
-     * returns whether it shows a restart.
+     * returns whether it shows a restart. A heartbeat under another name than that of the incarnation that answers may
+     * come from any sender; it counts only once an answer has shown that incarnation.
      */
     fun onHeartbeat(newStatus: UpstreamStatus): Boolean {
         val known = status
         val answered = answeredStartedAtMillis
         val startedAtMillis = newStatus.incarnation.startedAtMillis
         if (answered != null && startedAtMillis < answered) return false
-        if (known != null && isOlder(newStatus, known)) return false
+        val isKnownCurrent = known != null && known.incarnation.startedAtMillis == answered
+        if (isKnownCurrent && startedAtMillis != answered && known?.incarnation?.name != newStatus.incarnation.name) {
+            successor = newStatus
+            return false
+        }
+        val replacesForeign = startedAtMillis == answered && !isKnownCurrent
+        if (known != null && !replacesForeign && isOlder(newStatus, known)) return false
         status = newStatus
         return currentStartedAtMillis != null && currentStartedAtMillis != startedAtMillis
     }
@@ -78,6 +88,7 @@
         answeredStartedAtMillis = answer.startedAtMillis
         clockMillis = max(answer.clockMillis, clockMillis ?: 0)
         answeredAtMillis = nowMillis
+        successor?.takeIf { it.incarnation.startedAtMillis == answer.startedAtMillis }?.let { status = it }
         isRefusingConnections = false
         failedRenewals = 0
     }
--- a/egretlock-core/src/test/kotlin/io/egretlock/core/run/RunLedgerTest.kt
+++ b/egretlock-core/src/test/kotlin/io/egretlock/core/run/RunLedgerTest.kt
@@ -20,8 +20,9 @@
         sequence: Long = 1,
         draining: Boolean = false,
         cores: Int = 4,
+        name: String = "u",
     ) = UpstreamStatus(
-        UpstreamIncarnation("u", startedAt),
+        UpstreamIncarnation(name, startedAt),
         RunFixtures.service,
         "127.0.0.1:1",
         RunFixtures.room(cores),
@@ -290,6 +291,25 @@
         assertTrue(answerRenewal(startedAt = 9, clockMillis = 3, active = listOf(ActiveRun(run("a"), 1))).isEmpty())
     }
 
+    /** Guards against an agent that ignores its own upstream for good after a later heartbeat of another one. */
+    @Test
+    fun `a heartbeat under another name counts only once that incarnation answers`() {
+        ready()
+        ledger.onHeartbeat(status(startedAt = 90, name = "other", cores = 1))
+        ledger.onHeartbeat(status(sequence = 2, draining = true))
+        assertEquals("u@5" to false, ledger.report()?.let { it.upstream to it.accepting })
+        answerRenewal(startedAt = 90, clockMillis = 3)
+        assertEquals("other@90", ledger.report()?.upstream)
+    }
+
+    @Test
+    fun `a heartbeat of another upstream before the first answer gives way to that of the one that answers`() {
+        ledger.onHeartbeat(status(startedAt = 90, name = "other"))
+        answerRenewal()
+        ledger.onHeartbeat(status())
+        assertEquals("u@5", ledger.report()?.upstream)
+    }
+
     @Test
     fun `heartbeats of an earlier incarnation and late heartbeats are ignored`() {
         ledger.onHeartbeat(status(startedAt = 9, sequence = 5))
@@ -300,6 +320,7 @@
     }
 
     /** Guards against starts that are held back, and tokens that rise, by a heartbeat that was held up on its way. */
+
     @Test
     fun `a late heartbeat of an earlier incarnation does not undo a restart that an answer has shown`() {
         ready()
--- a/egretlock-testing/src/test/kotlin/io/egretlock/testing/platform/PlatformPathTest.kt
+++ b/egretlock-testing/src/test/kotlin/io/egretlock/testing/platform/PlatformPathTest.kt
@@ -42,6 +42,20 @@
             assertEquals(HTTP_OK, platform.submit(id(1))?.status)
         }
 
+    /** Guards against an agent that ignores its own upstream for good after a later heartbeat of another one. */
+    @Test
+    fun `given a later heartbeat of another upstream, when jobs come, then the own upstream is used`() =
+        runBlocking {
+            platform.start()
+            assertEquals(HTTP_OK, platform.submit(id(1))?.status)
+            val other =
+                """{"service":"other","address":"127.0.0.99:9","state":"ready","capacity":{"cpu":1},""" +
+                    """"born":9000000000000,"seq_no":1}"""
+            assertEquals(HTTP_OK, platform.heartbeat("u-other", other))
+            delay(RESEND_MILLIS)
+            assertEquals(HTTP_OK, platform.submit(id(2))?.status)
+        }
+
     @Test
     fun `given odd entries that are written again and again, when jobs come, then no process ends and jobs complete`() =
         runBlocking {
