--- a/egretlock-core/src/test/kotlin/io/egretlock/core/model/ModelChecker.kt
+++ b/egretlock-core/src/test/kotlin/io/egretlock/core/model/ModelChecker.kt
@@ -93,4 +93,5 @@
     TASK_GATE("TaskGate", "TaskGate"),
     RUN_LEASE("RunLease", "RunLease"),
     UPSTREAM_RESTART("UpstreamRestart", "UpstreamRestart"),
+    JOB_OWNERSHIP("JobOwnership", "JobOwnership"),
 }
--- a/egretlock-core/src/test/kotlin/io/egretlock/core/model/ModelTest.kt
+++ b/egretlock-core/src/test/kotlin/io/egretlock/core/model/ModelTest.kt
@@ -5,6 +5,7 @@
 import org.junit.jupiter.params.ParameterizedTest
 import org.junit.jupiter.params.provider.CsvSource
 import org.junit.jupiter.params.provider.EnumSource
+import org.junit.jupiter.params.provider.ValueSource
 
 class ModelTest {
     private val checker = ModelChecker()
@@ -41,6 +42,10 @@
         "RUN_LEASE, ConfirmStop, FALSE, OneRunAtATime",
         "UPSTREAM_RESTART, PendingStartNotOver, FALSE, OneRunAtATime",
         "UPSTREAM_RESTART, RaiseTokenOnRestart, FALSE, OneRunAtATime",
+        "JOB_OWNERSHIP, ConfirmOldJobs, FALSE, OneRunAtATime",
+        "JOB_OWNERSHIP, KeepPromises, FALSE, OneRunAtATime",
+        "JOB_OWNERSHIP, DoubtAfterPause, FALSE, OneRunAtATime",
+        "JOB_OWNERSHIP, AwaitRunsEnded, FALSE, OneRunAtATime",
     )
     fun `given a disabled safeguard, when checked, then the invariant is violated`(
         model: Model,
@@ -52,6 +57,16 @@
         assertTrue("Invariant $invariant is violated" in output, output)
     }
 
+    /** These safeguards matter only if an entry pauses, is cut off or restarts while it has the job. */
+    @ParameterizedTest
+    @ValueSource(strings = ["LimitRuns", "DoubtNewEntries"])
+    fun `given a fault and a disabled safeguard of the ownership of jobs, when checked, then two runs overlap`(
+        safeguard: String,
+    ) {
+        val output = checker.check(Model.JOB_OWNERSHIP, overrides = mapOf("MaxFaults" to "1", safeguard to "FALSE"))
+        assertTrue("Invariant OneRunAtATime is violated" in output, output)
+    }
+
     /** Shows that the two checks before a start is sent are not what keeps runs apart in the model. */
     @Test
     fun `given starts that are sent unchecked, when checked, then no two runs overlap`() {
--- a/egretlock-entry/src/main/kotlin/io/egretlock/entry/run/RunEntry.kt
+++ b/egretlock-entry/src/main/kotlin/io/egretlock/entry/run/RunEntry.kt
@@ -293,18 +293,16 @@
                 joinedJobs.removeJoiner(message.job, entry)
                 abandonIfUnwanted(message.job, now)
             }
-            is JoinedJobEnded -> onJoinedJobEnded(message)
+            is JoinedJobEnded -> {
+                // If the callers of the owner had less time, the job is started here once it is no longer announced.
+                val reason = (message.outcome as? StepJobOutcome.GivenUp)?.verdict?.reason
+                val isAnswer = joinedJobs[message.job] != null && reason != Reason.DEADLINE
+                if (isAnswer) answer(StepJobEffect.Answer(message.job, message.outcome))
+            }
             else -> logger.debug { "Ignored a message from an entry that entries do not handle: $message" }
         }
     }
 
-    /** If the owner's caller had less time, the job is started here once the owner no longer announces it. */
-    private fun onJoinedJobEnded(message: JoinedJobEnded) {
-        if (joinedJobs[message.job] == null) return
-        val verdict = (message.outcome as? StepJobOutcome.GivenUp)?.verdict
-        if (verdict?.reason != Reason.DEADLINE) answer(StepJobEffect.Answer(message.job, message.outcome))
-    }
-
     /**
      * Replaces the agent's earlier connection, if there is one. An agent reconnects only after it has given up that
      * connection and stopped the runs ordered over it. This entry may not have noticed the loss yet, since the silence
