Announce the end of a job that was kept from another entry

Found by reading: an entry that keeps a job which another one announced too, and gives it up before its own announcement, told nobody. The callers who wait at the other entry would have waited until their time was over.

Cause: the end of a job made an announcement due only if the job had been announced.

Ruled out: nothing, as there was no failing run; the other way to the same end, a question of the other entry, covers most cases.

Change: the end of a job that was kept from another entry makes an announcement due.

Measured: the new case of JobOwnershipTest expects the announcement.

--- a/egretlock-core/src/main/kotlin/io/egretlock/core/run/JobOwnership.kt
+++ b/egretlock-core/src/main/kotlin/io/egretlock/core/run/JobOwnership.kt
@@ -46,7 +46,7 @@
     /** Records that a job has been answered or given up and that all its runs are over. */
     fun close(job: JobId) {
         val closed = own.remove(job) ?: return
-        if (closed.announcedRound != null) isListChanged = true
+        if (closed.announcedRound != null || closed.isDisputed) isListChanged = true
     }
 
     /** Whether runs of the entry's own [job] may be ordered now. */
--- a/egretlock-core/src/test/kotlin/io/egretlock/core/run/JobOwnershipTest.kt
+++ b/egretlock-core/src/test/kotlin/io/egretlock/core/run/JobOwnershipTest.kt
@@ -242,4 +242,15 @@
         ownership.close(job)
         assertEquals(emptyList<JobId>(), announce(start + timing.announcedFromMillis)?.jobs)
     }
+
+    /** Guards against callers that wait at another entry for a job that its owner gave up before it announced it. */
+    @Test
+    fun `a job that was kept from another entry is announced as over, even if it was never announced`() {
+        val now = connect(other)
+        announce(now)
+        ownership.open(job, now)
+        onAnnounced(now, JobRuns.ACTIVE)
+        ownership.close(job)
+        assertEquals(emptyList<JobId>(), announce(now)?.jobs)
+    }
 }
